--- a/packages/dispatch/include/bronzering/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/bronzering/dispatch/quota_ledger.h
@@ -33,8 +33,8 @@
   /// Adopts rates and bursts; the level of a bucket is kept, at most at its new burst.
   auto Configure(const std::vector<organisation_spec>& aOrganisations, time_point aNow) -> void;
 
-  /// Takes aUnits if the bucket is not empty. Returns zero on success, otherwise the time after
-  /// which it will hold enough. Unknown organisations have no limit.
+  /// Takes aUnits, whatever their number, if the bucket is not empty. Returns zero on success,
+  /// otherwise the time after which it will not be empty. Unknown organisations have no limit.
   [[nodiscard]] auto Spend(std::string_view aOrganisation, double aUnits, time_point aNow)
     -> duration;
   /// Returns what a request took that never ran.
--- a/packages/dispatch/src/quota_ledger.cpp
+++ b/packages/dispatch/src/quota_ledger.cpp
@@ -44,11 +44,10 @@
   auto& own = found->second;
   if (own.mRate > 0) {
     Refill(key, own, aNow);
-    // A request larger than the burst passes when the bucket is full; the debt delays later ones.
-    const auto needed = std::min(aUnits, own.mBurst);
-    if (own.mLevel < needed) {
-      return std::max(duration(std::chrono::milliseconds(1)),
-                      FromSeconds((needed - own.mLevel) / own.mRate));
+    // Any size passes while something is left, so that large requests are not turned away in favour
+    // of small ones; the debt delays later requests.
+    if (own.mLevel <= 0) {
+      return FromSeconds(-own.mLevel / own.mRate) + duration(std::chrono::milliseconds(1));
     }
     own.mLevel -= aUnits;
   }
