Send only what changed in the digests between entries

Change: loads of endpoints with work and changed totals in each digest, speeds, peers and all totals in every twentieth; endpoint keys of 4 bytes.

--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -22,17 +22,26 @@
   std::uint64_t mOutputTokens = 0;
 };
 
-/// One entry's outstanding work at one endpoint and what it has learned of the endpoint's speed, as
-/// told to its peers. Speeds are 0 when nothing was learned.
+/// Names an endpoint to peers: a short hash of its id.
+using endpoint_key = std::uint32_t;
+[[nodiscard]] auto KeyOfEndpoint(std::string_view aId) -> endpoint_key;
+
+/// One entry's outstanding work at one endpoint, as told to its peers.
 struct endpoint_load
 {
-  /// Hash of the endpoint's id.
-  std::uint64_t mKey = 0;
+  endpoint_key mKey = 0;
   std::uint32_t mRequests = 0;
   /// Prompt tokens of requests without a first event.
   std::uint64_t mPromptTokens = 0;
   /// Output tokens still expected.
   std::uint64_t mOutputTokens = 0;
+};
+
+/// What one entry has learned of an endpoint's speed, as told to its peers. 0 means nothing.
+struct endpoint_speed
+{
+  endpoint_key mKey = 0;
+  /// Time of one generated token, or of a whole request of a plain service.
   duration mTokenTime{};
   double mPromptTokenMicros = 0;
 };
@@ -92,10 +101,15 @@
   /// The request is no longer outstanding. Unknown exchanges are ignored.
   auto End(exchange_id aExchange, send_result aResult, time_point aNow) -> void;
 
+  /// Replaces the peer's outstanding work; endpoints that are not named have none of it.
   auto SetPeerLoads(const std::string& aPeer, const std::vector<endpoint_load>& aLoads) -> void;
+  /// Adds to what the peer has learned. It is kept when the peer is dropped.
+  auto SetPeerSpeeds(const std::vector<endpoint_speed>& aSpeeds) -> void;
   auto DropPeer(std::string_view aPeer) -> void;
-  /// This entry's own outstanding work and learned speeds.
+  /// This entry's own outstanding work, for endpoints that have any.
   [[nodiscard]] auto OwnLoads() const -> std::vector<endpoint_load>;
+  /// What this entry has learned itself.
+  [[nodiscard]] auto OwnSpeeds() const -> std::vector<endpoint_speed>;
 
   /// Whether the endpoint is listed and not leaving.
   [[nodiscard]] auto IsUsable(const std::string& aEndpoint) const -> bool;
@@ -106,8 +120,8 @@
   struct endpoint_state
   {
     listed_endpoint mListed;
-    std::uint64_t mKey = 0;
     endpoint_load mOwn;
+    endpoint_speed mSpeed;
     std::uint32_t mFailuresInRow = 0;
     time_point mAvoidUntil;
     /// Share of recent sends that failed.
@@ -125,20 +139,13 @@
     time_point mSent;
     time_point mLastEvent;
   };
-  /// Sums over this entry and its peers.
-  struct total_load
-  {
-    std::uint32_t mRequests = 0;
-    std::uint64_t mPromptTokens = 0;
-    std::uint64_t mOutputTokens = 0;
-    duration mTokenTime{};
-    double mPromptTokenMicros = 0;
-  };
-
-  [[nodiscard]] auto Total(const endpoint_state& aEndpoint) const -> total_load;
+  /// Outstanding work of this entry and its peers.
+  [[nodiscard]] auto Total(const endpoint_state& aEndpoint) const -> endpoint_load;
+  /// Own measurements, and a peer's where there are none.
+  [[nodiscard]] auto Speed(const endpoint_state& aEndpoint) const -> endpoint_speed;
   [[nodiscard]] auto Expected(const endpoint_state& aEndpoint,
                               const service_spec& aService,
-                              const total_load& aTotal,
+                              const endpoint_load& aTotal,
                               const token_work& aWork) const -> duration;
   static auto AddFailure(endpoint_state& aEndpoint, duration aFirstAvoidance, time_point aNow)
     -> void;
@@ -154,7 +161,8 @@
   std::map<std::string, service_spec, std::less<>> mServices;
   std::map<std::string, endpoint_state, std::less<>> mEndpoints;
   std::unordered_map<exchange_id, outstanding> mOutstanding;
-  std::map<std::string, std::unordered_map<std::uint64_t, endpoint_load>, std::less<>> mPeerLoads;
+  std::map<std::string, std::unordered_map<endpoint_key, endpoint_load>, std::less<>> mPeerLoads;
+  std::unordered_map<endpoint_key, endpoint_speed> mPeerSpeeds;
 };
 
 } // namespace bronzering
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -27,8 +27,10 @@
   /// Revision of the published items that the sender holds.
   std::uint64_t mRevision = 0;
   std::vector<endpoint_load> mLoads;
+  /// Organisations whose total has changed; all of them in a full digest.
   std::vector<organisation_spending> mSpending;
-  /// Addresses of the entries that the sender hears.
+  /// Only in full digests: learned speeds, and the addresses of the entries that the sender hears.
+  std::vector<endpoint_speed> mSpeeds;
   std::vector<std::string> mPeers;
 };
 
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -50,6 +50,11 @@
 
 } // namespace
 
+auto KeyOfEndpoint(std::string_view aId) -> endpoint_key
+{
+  return static_cast<endpoint_key>(HashText(aId));
+}
+
 endpoint_table::endpoint_table(std::string aAvailabilityZone)
   : mAvailabilityZone(std::move(aAvailabilityZone))
 {
@@ -75,8 +80,8 @@
     } else {
       state.mAvoidUntil = aNow;
     }
-    state.mKey = HashText(listed.mId);
-    state.mOwn.mKey = state.mKey;
+    state.mOwn.mKey = KeyOfEndpoint(listed.mId);
+    state.mSpeed.mKey = state.mOwn.mKey;
     auto id = listed.mId;
     state.mListed = std::move(listed);
     mEndpoints.emplace(std::move(id), std::move(state));
@@ -201,8 +206,9 @@
     case send_result::Answered: {
       const auto* service = ServiceOf(endpoint->mListed.mService);
       if (service != nullptr && !service->mIsModel && sent.mHadPlace) {
-        own.mTokenTime = duration(
-          static_cast<duration::rep>(Blend(static_cast<double>(own.mTokenTime.count()),
+        auto& serviceTime = endpoint->mSpeed.mTokenTime;
+        serviceTime = duration(
+          static_cast<duration::rep>(Blend(static_cast<double>(serviceTime.count()),
                                            static_cast<double>(duration(aNow - sent.mSent).count()),
                                            kServiceTimeWeight)));
       }
@@ -245,6 +251,13 @@
   }
 }
 
+auto endpoint_table::SetPeerSpeeds(const std::vector<endpoint_speed>& aSpeeds) -> void
+{
+  for (const auto& speed : aSpeeds) {
+    mPeerSpeeds.insert_or_assign(speed.mKey, speed);
+  }
+}
+
 auto endpoint_table::DropPeer(std::string_view aPeer) -> void
 {
   if (const auto found = mPeerLoads.find(aPeer); found != mPeerLoads.end()) {
@@ -256,14 +269,25 @@
 {
   auto loads = std::vector<endpoint_load>();
   for (const auto& [id, endpoint] : mEndpoints) {
-    const auto& own = endpoint.mOwn;
-    if (own.mRequests > 0 || own.mTokenTime > duration::zero() || own.mPromptTokenMicros > 0) {
-      loads.push_back(own);
+    if (endpoint.mOwn.mRequests > 0) {
+      loads.push_back(endpoint.mOwn);
     }
   }
   return loads;
 }
 
+auto endpoint_table::OwnSpeeds() const -> std::vector<endpoint_speed>
+{
+  auto speeds = std::vector<endpoint_speed>();
+  for (const auto& [id, endpoint] : mEndpoints) {
+    const auto& speed = endpoint.mSpeed;
+    if (speed.mTokenTime > duration::zero() || speed.mPromptTokenMicros > 0) {
+      speeds.push_back(speed);
+    }
+  }
+  return speeds;
+}
+
 auto endpoint_table::IsUsable(const std::string& aEndpoint) const -> bool
 {
   const auto found = mEndpoints.find(aEndpoint);
@@ -286,37 +310,39 @@
   return found == mServices.end() ? nullptr : &found->second;
 }
 
-auto endpoint_table::Total(const endpoint_state& aEndpoint) const -> total_load
+auto endpoint_table::Total(const endpoint_state& aEndpoint) const -> endpoint_load
 {
-  const auto& own = aEndpoint.mOwn;
-  auto total = total_load{
-    own.mRequests, own.mPromptTokens, own.mOutputTokens, own.mTokenTime, own.mPromptTokenMicros
-  };
+  auto total = aEndpoint.mOwn;
   for (const auto& [peer, loads] : mPeerLoads) {
-    const auto found = loads.find(aEndpoint.mKey);
-    if (found == loads.end()) {
-      continue;
+    if (const auto found = loads.find(total.mKey); found != loads.end()) {
+      total.mRequests += found->second.mRequests;
+      total.mPromptTokens += found->second.mPromptTokens;
+      total.mOutputTokens += found->second.mOutputTokens;
     }
-    const auto& load = found->second;
-    total.mRequests += load.mRequests;
-    total.mPromptTokens += load.mPromptTokens;
-    total.mOutputTokens += load.mOutputTokens;
-    // What this entry has not measured itself it takes from a peer.
-    if (total.mTokenTime == duration::zero()) {
-      total.mTokenTime = load.mTokenTime;
+  }
+  return total;
+}
+
+auto endpoint_table::Speed(const endpoint_state& aEndpoint) const -> endpoint_speed
+{
+  auto speed = aEndpoint.mSpeed;
+  if (const auto found = mPeerSpeeds.find(speed.mKey); found != mPeerSpeeds.end()) {
+    if (speed.mTokenTime == duration::zero()) {
+      speed.mTokenTime = found->second.mTokenTime;
     }
-    if (total.mPromptTokenMicros == 0) {
-      total.mPromptTokenMicros = load.mPromptTokenMicros;
+    if (speed.mPromptTokenMicros == 0) {
+      speed.mPromptTokenMicros = found->second.mPromptTokenMicros;
     }
   }
-  return total;
+  return speed;
 }
 
 auto endpoint_table::Expected(const endpoint_state& aEndpoint,
                               const service_spec& aService,
-                              const total_load& aTotal,
+                              const endpoint_load& aTotal,
                               const token_work& aWork) const -> duration
 {
+  const auto speed = Speed(aEndpoint);
   const auto& listed = aEndpoint.mListed;
   const auto slots = std::max(listed.mSlots, 1U);
   const auto waiting = aTotal.mRequests < slots ? 0U : aTotal.mRequests - slots + 1;
@@ -327,7 +353,7 @@
 
   if (!aService.mIsModel) {
     const auto known =
-      aTotal.mTokenTime == duration::zero() ? kUnknownServiceTime : aTotal.mTokenTime;
+      speed.mTokenTime == duration::zero() ? kUnknownServiceTime : speed.mTokenTime;
     const auto serviceTime = static_cast<double>(known.count());
     micros += serviceTime * (1 + static_cast<double>(waiting) / slots);
     return duration(static_cast<duration::rep>(micros));
@@ -335,7 +361,7 @@
 
   // A place becomes free when one of the running requests has generated its remaining output.
   const auto tokenTime = static_cast<double>(
-    (aTotal.mTokenTime == duration::zero() ? kUnknownTokenTime : aTotal.mTokenTime).count());
+    (speed.mTokenTime == duration::zero() ? kUnknownTokenTime : speed.mTokenTime).count());
   if (waiting > 0) {
     const auto meanRemaining =
       std::max(static_cast<double>(aTotal.mOutputTokens) / aTotal.mRequests,
@@ -345,7 +371,7 @@
 
   // Prompts are read one after another.
   const auto promptMicros =
-    aTotal.mPromptTokenMicros == 0 ? kUnknownPromptTokenMicros : aTotal.mPromptTokenMicros;
+    speed.mPromptTokenMicros == 0 ? kUnknownPromptTokenMicros : speed.mPromptTokenMicros;
   micros += static_cast<double>(aTotal.mPromptTokens + aWork.mPromptTokens) * promptMicros;
   micros += static_cast<double>(kFirstEventBase.count()) + tokenTime * aService.mTokensPerEvent;
   return duration(static_cast<duration::rep>(micros));
@@ -376,8 +402,8 @@
   }
   const auto elapsed = std::max<duration>(aNow - aSent.mSent - kFirstEventBase, duration(1));
   const auto sample = static_cast<double>(elapsed.count()) / static_cast<double>(tokens);
-  aEndpoint.mOwn.mPromptTokenMicros =
-    Blend(aEndpoint.mOwn.mPromptTokenMicros, sample, kPromptTimeWeight);
+  aEndpoint.mSpeed.mPromptTokenMicros =
+    Blend(aEndpoint.mSpeed.mPromptTokenMicros, sample, kPromptTimeWeight);
 }
 
 auto endpoint_table::LearnTokens(endpoint_state& aEndpoint,
@@ -390,8 +416,8 @@
   if (sample > kMaxLearnedTokenTime) {
     return;
   }
-  aEndpoint.mOwn.mTokenTime = duration(
-    static_cast<duration::rep>(Blend(static_cast<double>(aEndpoint.mOwn.mTokenTime.count()),
+  aEndpoint.mSpeed.mTokenTime = duration(
+    static_cast<duration::rep>(Blend(static_cast<double>(aEndpoint.mSpeed.mTokenTime.count()),
                                      static_cast<double>(sample.count()),
                                      kTokenTimeWeight)));
 }
--- a/packages/dispatch/tests/endpoint_table_test.cpp
+++ b/packages/dispatch/tests/endpoint_table_test.cpp
@@ -1,4 +1,3 @@
-#include <bronzering/base/hash.h>
 #include <bronzering/dispatch/endpoint_table.h>
 
 #include <catch2/catch.hpp>
@@ -53,7 +52,7 @@
 TEST_CASE("a peer's outstanding work counts until the peer is dropped", "[endpoint_table]")
 {
   auto table = Table();
-  table.SetPeerLoads("peer", { { HashText("one"), 3, 9000, 900, {}, 0 } });
+  table.SetPeerLoads("peer", { { KeyOfEndpoint("one"), 3, 9000, 900 } });
   CHECK(Chosen(table, kStart) == "two");
   table.DropPeer("peer");
   CHECK(Chosen(table, kStart) == "one");
@@ -113,16 +112,16 @@
     now += 100ms;
     table.OnEvents({ 1 }, 1, now);
   }
-  const auto loads = table.OwnLoads();
-  REQUIRE(loads.size() == 1);
-  CHECK(loads[0].mKey == HashText("one"));
-  CHECK(loads[0].mTokenTime == 20ms);
-  CHECK(loads[0].mPromptTokenMicros == Approx(185));
-  CHECK(loads[0].mPromptTokens == 0);
+  const auto speeds = table.OwnSpeeds();
+  REQUIRE(speeds.size() == 1);
+  CHECK(speeds[0].mKey == KeyOfEndpoint("one"));
+  CHECK(speeds[0].mTokenTime == 20ms);
+  CHECK(speeds[0].mPromptTokenMicros == Approx(185));
+  CHECK(table.OwnLoads().at(0).mPromptTokens == 0);
 
   // A peer that has measured nothing itself uses these speeds.
   auto peer = Table();
-  peer.SetPeerLoads("other", loads);
+  peer.SetPeerSpeeds(speeds);
   CHECK(Chosen(peer, kStart) == "two");
 }
 
@@ -134,7 +133,7 @@
   }
   // The third had no place, so its late first event says nothing about prefill.
   table.OnEvents({ 3 }, 1, kStart + 10s);
-  CHECK(table.OwnLoads()[0].mPromptTokenMicros == 0);
+  CHECK(table.OwnSpeeds().empty());
 }
 
 TEST_CASE("outstanding work returns to zero whatever happens to requests", "[endpoint_table]")
@@ -152,9 +151,9 @@
     table.End({ request }, result, kStart + 20ms);
     table.End({ request }, result, kStart + 20ms);
   }
-  for (const auto& load : table.OwnLoads()) {
-    CHECK(load.mRequests == 0);
-    CHECK(load.mPromptTokens == 0);
-    CHECK(load.mOutputTokens == 0);
-  }
+  CHECK(table.OwnLoads().empty());
+  table.Begin({ 99 }, "one", { 700, 30 }, kStart);
+  CHECK(table.OwnLoads().at(0).mRequests == 1);
+  CHECK(table.OwnLoads().at(0).mPromptTokens == 700);
+  CHECK(table.OwnLoads().at(0).mOutputTokens == 30);
 }
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -20,6 +20,7 @@
 /// receives stays bounded.
 constexpr auto kDigestInterval = duration(std::chrono::milliseconds(40));
 constexpr auto kIntervalPerPeer = duration(std::chrono::milliseconds(5));
+constexpr auto kFullDigestEvery = 20U;
 
 } // namespace
 
@@ -71,6 +72,7 @@
       mState.mQuotas.OnPeerSpending(digest->mSender, digest->mIncarnation, digest->mSpending, now);
     }
     mState.mEndpoints.SetPeerLoads(digest->mSender, digest->mLoads);
+    mState.mEndpoints.SetPeerSpeeds(digest->mSpeeds);
     ApplyChanges(now);
     mState.mWaiter.Wake();
     if (digest->mRevision > mState.mItems.Revision()) {
@@ -106,7 +108,13 @@
   digest.mRevision = mState.mRoutes ? mState.mItems.Revision() : 0;
   digest.mLoads = mState.mEndpoints.OwnLoads();
   digest.mSpending = mState.mQuotas.Totals();
-  digest.mPeers = mState.mPeers.LivePeers();
+  // What changes slowly, and totals whose last report may have been lost, go into full digests.
+  if (mSequence % kFullDigestEvery == 1) {
+    digest.mSpeeds = mState.mEndpoints.OwnSpeeds();
+    digest.mPeers = mState.mPeers.LivePeers();
+  } else {
+    digest.mSpending = ChangedSpending(std::move(digest.mSpending));
+  }
   const auto bytes = EncodeDigest(digest);
   for (const auto& target : mState.mPeers.Targets(ReadBootClock())) {
     auto error = boost::system::error_code();
@@ -119,6 +127,18 @@
   }
 }
 
+auto peer_channel::ChangedSpending(std::vector<organisation_spending> aTotals)
+  -> std::vector<organisation_spending>
+{
+  std::erase_if(aTotals, [this](const organisation_spending& aTotal) {
+    const auto [sent, isNew] = mSentTotals.try_emplace(aTotal.mKey, aTotal.mTotal);
+    const auto isUnchanged = !isNew && sent->second == aTotal.mTotal;
+    sent->second = aTotal.mTotal;
+    return isUnchanged;
+  });
+  return aTotals;
+}
+
 auto peer_channel::ApplyChanges(time_point aNow) -> void
 {
   for (const auto& change : mState.mPeers.TakeChanges(aNow)) {
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -10,6 +10,8 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <unordered_map>
+#include <vector>
 
 namespace bronzering {
 
@@ -30,6 +32,9 @@
 
 private:
   auto SendDigest() -> void;
+  /// Totals that differ from those sent last.
+  auto ChangedSpending(std::vector<organisation_spending> aTotals)
+    -> std::vector<organisation_spending>;
   auto ApplyChanges(time_point aNow) -> void;
 
   gateway_state& mState;
@@ -37,6 +42,8 @@
   boost::asio::ip::udp::socket mSocket;
   std::uint64_t mIncarnation;
   std::uint64_t mSequence = 0;
+  /// Totals by organisation, as sent last.
+  std::unordered_map<std::uint64_t, double> mSentTotals;
   /// The largest datagram.
   std::array<char, 64UL * 1024> mInput = {};
 };
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -50,13 +50,17 @@
 {
   auto loads = std::vector<peer::EndpointLoad>();
   for (const auto& load : aDigest.mLoads) {
-    loads.emplace_back(
-      load.mKey,
-      Clamp<std::uint32_t>(load.mPromptTokens),
-      Clamp<std::uint32_t>(load.mOutputTokens),
-      Clamp<std::uint32_t>(load.mTokenTime.count()),
-      Clamp<std::uint32_t>(static_cast<std::int64_t>(load.mPromptTokenMicros * 1000)),
-      Clamp<std::uint16_t>(load.mRequests));
+    loads.emplace_back(load.mKey,
+                       Clamp<std::uint32_t>(load.mPromptTokens),
+                       Clamp<std::uint32_t>(load.mOutputTokens),
+                       Clamp<std::uint16_t>(load.mRequests));
+  }
+  auto speeds = std::vector<peer::EndpointSpeed>();
+  for (const auto& speed : aDigest.mSpeeds) {
+    speeds.emplace_back(
+      speed.mKey,
+      Clamp<std::uint32_t>(speed.mTokenTime.count()),
+      Clamp<std::uint32_t>(static_cast<std::int64_t>(speed.mPromptTokenMicros * 1000)));
   }
   auto spending = std::vector<peer::Spending>();
   for (const auto& total : aDigest.mSpending) {
@@ -67,6 +71,8 @@
     peers.push_back(ToNumber(address));
   }
 
+  // Empty vectors are left out: most digests carry few of them.
+  const auto orNull = [](const auto& aList) { return aList.empty() ? nullptr : &aList; };
   auto builder = flatbuffers::FlatBufferBuilder();
   builder.Finish(peer::CreateDigestDirect(builder,
                                           ToNumber(aDigest.mSender),
@@ -74,9 +80,10 @@
                                           aDigest.mSequence,
                                           aDigest.mIsLeaving,
                                           aDigest.mRevision,
-                                          &loads,
-                                          &spending,
-                                          &peers));
+                                          orNull(loads),
+                                          orNull(spending),
+                                          orNull(peers),
+                                          orNull(speeds)));
   return Finished(builder);
 }
 
@@ -94,12 +101,15 @@
   digest.mRevision = message->revision();
   if (message->loads() != nullptr) {
     for (const auto* load : *message->loads()) {
-      digest.mLoads.push_back({ load->key(),
-                                load->requests(),
-                                load->prompt_tokens(),
-                                load->output_tokens(),
-                                duration(load->token_time_us()),
-                                static_cast<double>(load->prompt_token_ns()) / 1000 });
+      digest.mLoads.push_back(
+        { load->key(), load->requests(), load->prompt_tokens(), load->output_tokens() });
+    }
+  }
+  if (message->speeds() != nullptr) {
+    for (const auto* speed : *message->speeds()) {
+      digest.mSpeeds.push_back({ speed->key(),
+                                 duration(speed->token_time_us()),
+                                 static_cast<double>(speed->prompt_token_ns()) / 1000 });
     }
   }
   if (message->spending() != nullptr) {
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -13,7 +13,8 @@
   digest.mSequence = 5;
   digest.mIsLeaving = true;
   digest.mRevision = 900;
-  digest.mLoads = { { 42, 3, 5000, 700, 4ms, 15.5 } };
+  digest.mLoads = { { 42, 3, 5000, 700 } };
+  digest.mSpeeds = { { 44, 4ms, 15.5 } };
   digest.mSpending = { { 43, 1234.5 } };
   digest.mPeers = { "10.0.0.2" };
   const auto decoded = DecodeDigest(EncodeDigest(digest));
@@ -28,8 +29,10 @@
   CHECK(decoded->mLoads[0].mRequests == 3);
   CHECK(decoded->mLoads[0].mPromptTokens == 5000);
   CHECK(decoded->mLoads[0].mOutputTokens == 700);
-  CHECK(decoded->mLoads[0].mTokenTime == 4ms);
-  CHECK(decoded->mLoads[0].mPromptTokenMicros == Approx(15.5));
+  REQUIRE(decoded->mSpeeds.size() == 1);
+  CHECK(decoded->mSpeeds[0].mKey == 44);
+  CHECK(decoded->mSpeeds[0].mTokenTime == 4ms);
+  CHECK(decoded->mSpeeds[0].mPromptTokenMicros == Approx(15.5));
   REQUIRE(decoded->mSpending.size() == 1);
   CHECK(decoded->mSpending[0].mTotal == 1234.5);
   CHECK(decoded->mPeers == digest.mPeers);
@@ -39,7 +42,7 @@
 {
   auto digest = peer_digest();
   digest.mSender = "10.0.0.1";
-  digest.mLoads = { { 42, 3, 5000, 700, 4ms, 15.5 } };
+  digest.mLoads = { { 42, 3, 5000, 700 } };
   const auto bytes = EncodeDigest(digest);
   CHECK(!DecodeDigest(""));
   CHECK(!DecodeDigest("not a digest at all, but long enough to be read as one"));
