--- a/packages/dispatch/include/bronzering/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/bronzering/dispatch/quota_ledger.h
@@ -20,6 +20,16 @@
   double mTotal = 0;
 };
 
+/// How far the fleet may exceed a limit in sum. Entries learn of each other's admissions late, and
+/// what they plan with spares requests that are within the limit.
+struct quota_tolerance
+{
+  /// Share of rate and burst.
+  double mOvershoot = 0;
+  /// Units besides, at once.
+  double mSlack = 0;
+};
+
 /// Limits of organisations over all entries together. Every entry keeps a token bucket for the
 /// whole fleet and takes from it what it admits itself and what its peers report. A peer that fell
 /// silent is charged at the rate it had, since it may be cut off and still admitting. Not
@@ -30,7 +40,10 @@
   /// How long a silent peer is charged for.
   static constexpr auto kSilentPeerCharge = std::chrono::seconds(8);
 
-  /// Adopts rates and bursts; the level of a bucket is kept, at most at its new burst.
+  explicit quota_ledger(quota_tolerance aTolerance = {});
+
+  /// Adopts rates and bursts; the level of a bucket is kept, at most at its new burst. A new bucket is
+  /// empty, because what was admitted before a restart is not known.
   auto Configure(const std::vector<organisation_spec>& aOrganisations, time_point aNow) -> void;
 
   /// Takes aUnits, whatever their number, if the bucket is not empty. Returns zero on success,
@@ -81,6 +94,7 @@
   auto Refill(std::uint64_t aKey, bucket& aBucket, time_point aNow) -> void;
   auto ChargeSilentPeers(std::uint64_t aKey, bucket& aBucket, time_point aNow) -> void;
 
+  quota_tolerance mTolerance;
   std::unordered_map<std::uint64_t, bucket> mBuckets;
   std::map<std::string, peer_state, std::less<>> mPeers;
 };
--- a/packages/dispatch/src/quota_ledger.cpp
+++ b/packages/dispatch/src/quota_ledger.cpp
@@ -15,6 +15,11 @@
 
 } // namespace
 
+quota_ledger::quota_ledger(quota_tolerance aTolerance)
+  : mTolerance(aTolerance)
+{
+}
+
 auto quota_ledger::Configure(const std::vector<organisation_spec>& aOrganisations, time_point aNow)
   -> void
 {
@@ -22,13 +27,14 @@
   mBuckets.clear();
   for (const auto& organisation : aOrganisations) {
     const auto key = HashText(organisation.mName);
-    auto next = bucket{ organisation.mRate, organisation.mBurst, organisation.mBurst, 0, aNow };
+    const auto factor = 1 + mTolerance.mOvershoot;
+    const auto slack = organisation.mRate > 0 ? mTolerance.mSlack : 0;
+    auto next =
+      bucket{ organisation.mRate * factor, organisation.mBurst * factor + slack, 0, 0, aNow };
     if (const auto found = previous.find(key); found != previous.end()) {
       Refill(key, found->second, aNow);
       next.mOwnTotal = found->second.mOwnTotal;
-      if (found->second.mRate > 0) {
-        next.mLevel = std::min(found->second.mLevel, organisation.mBurst);
-      }
+      next.mLevel = found->second.mRate > 0 ? std::min(found->second.mLevel, next.mBurst) : 0;
     }
     mBuckets.emplace(key, next);
   }
@@ -46,7 +52,7 @@
     Refill(key, own, aNow);
     // Any size passes while something is left, so that large requests are not turned away in favour
     // of small ones; the debt delays later requests.
-    if (own.mLevel <= 0) {
+    if (own.mLevel < 0) {
       return FromSeconds(-own.mLevel / own.mRate) + duration(std::chrono::milliseconds(1));
     }
     own.mLevel -= aUnits;
--- a/packages/gateway/include/bronzering/gateway/gateway_settings.h
+++ b/packages/gateway/include/bronzering/gateway/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/quota_ledger.h>
 #include <bronzering/dispatch/repeat_budget.h>
 
 #include <cstddef>
@@ -28,6 +29,7 @@
   /// Addresses of entries that may be found there; possibly stale.
   std::vector<std::string> mSeeds;
   repeat_limits mRepeats;
+  quota_tolerance mQuotaTolerance;
   /// Time between a request to stop and the end of the process.
   duration mStopGrace = std::chrono::seconds(8);
   std::size_t mMaxConnections = 3'000;
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -41,6 +41,7 @@
     , mEndpoints(mSettings.mAvailabilityZone)
     , mWaiter(aContext, mEndpoints)
     , mConnections(aContext)
+    , mQuotas(mSettings.mQuotaTolerance)
     , mPeers(mSettings.mAddress)
   {
   }
