--- /dev/null
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -0,0 +1,323 @@
+#include "gateway_harness.h"
+
+#include "socket_options.h"
+#include "within.h"
+
+#include <catch2/catch.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <spdlog/fmt/fmt.h>
+
+#include <array>
+
+namespace bronzering {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto kUseTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// Ends a test that hangs; far beyond any duration of a passing one.
+constexpr auto kHangTimeout = std::chrono::seconds(60);
+
+/// Different ports that are free at the moment.
+template<std::size_t Count>
+auto FreePorts() -> std::array<std::uint16_t, Count>
+{
+  auto context = boost::asio::io_context();
+  auto acceptors = std::vector<tcp::acceptor>();
+  auto ports = std::array<std::uint16_t, Count>();
+  for (auto& port : ports) {
+    acceptors.emplace_back(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    port = acceptors.back().local_endpoint().port();
+  }
+  return ports;
+}
+
+auto ServeScript(tcp::socket aSocket,
+                 scripted_endpoint::script aScript,
+                 std::shared_ptr<std::vector<http_request>> aRequests,
+                 std::shared_ptr<int> aDepartures) -> boost::asio::awaitable<void>
+{
+  auto buffer = boost::beast::flat_buffer();
+  for (;;) {
+    auto request = http_request();
+    auto [error, count] = co_await http::async_read(aSocket, buffer, request, kUseTuple);
+    if (error) {
+      co_return;
+    }
+    aRequests->push_back(request);
+    const auto reaction = aScript(request);
+    co_await boost::asio::async_write(aSocket, boost::asio::buffer(reaction.mText), kUseTuple);
+    if (reaction.mEnding == scripted_endpoint::ending::Reset) {
+      AbortSocket(aSocket);
+      co_return;
+    }
+    if (reaction.mEnding == scripted_endpoint::ending::Close) {
+      co_return;
+    }
+    if (reaction.mEnding == scripted_endpoint::ending::Hang) {
+      auto byte = char();
+      co_await aSocket.async_read_some(boost::asio::buffer(&byte, 1), kUseTuple);
+      ++*aDepartures;
+      co_return;
+    }
+  }
+}
+
+auto AcceptAll(std::shared_ptr<tcp::acceptor> aAcceptor,
+               scripted_endpoint::script aScript,
+               std::shared_ptr<std::vector<http_request>> aRequests,
+               std::shared_ptr<int> aDepartures) -> boost::asio::awaitable<void>
+{
+  for (;;) {
+    auto [error, socket] = co_await aAcceptor->async_accept(kUseTuple);
+    if (error) {
+      co_return;
+    }
+    boost::asio::co_spawn(aAcceptor->get_executor(),
+                          ServeScript(std::move(socket), aScript, aRequests, aDepartures),
+                          boost::asio::detached);
+  }
+}
+
+} // namespace
+
+auto TestDialect() -> header_dialect
+{
+  auto dialect = header_dialect();
+  dialect.mRequestId = "Request-Id";
+  dialect.mDeadline = "Deadline-Ms";
+  dialect.mTokenCounts = "Tokens";
+  dialect.mOutputHint = "Output-Hint";
+  dialect.mOrganisation = "Organisation";
+  dialect.mExpectedEndpoint = "Expected-Endpoint";
+  dialect.mSeal = "Seal";
+  dialect.mNotRun = "Not-Run";
+  dialect.mLastEventId = "Last-Event-Id";
+  dialect.mReserved = { "Organisation", "Expected-Endpoint", "Engine-Hold" };
+  return dialect;
+}
+
+scripted_endpoint::scripted_endpoint(boost::asio::io_context& aContext,
+                                     std::string aId,
+                                     script aScript)
+  : mId(std::move(aId))
+  , mRequests(std::make_shared<std::vector<http_request>>())
+  , mDepartures(std::make_shared<int>(0))
+  , mAcceptor(
+      std::make_shared<tcp::acceptor>(aContext,
+                                      tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)))
+{
+  boost::asio::co_spawn(aContext,
+                        AcceptAll(mAcceptor, std::move(aScript), mRequests, mDepartures),
+                        boost::asio::detached);
+}
+
+auto scripted_endpoint::Listed() const -> listed_endpoint
+{
+  auto listed = listed_endpoint();
+  listed.mId = mId;
+  listed.mService = "engines";
+  listed.mAddress = "127.0.0.1:" + std::to_string(mAcceptor->local_endpoint().port());
+  listed.mAvailabilityZone = "a";
+  listed.mSlots = 8;
+  return listed;
+}
+
+test_caller::test_caller(boost::asio::io_context& aContext)
+  : mSocket(aContext)
+{
+}
+
+auto test_caller::Connect(std::uint16_t aPort) -> boost::asio::awaitable<void>
+{
+  const auto endpoint = tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), aPort);
+  co_await mSocket.async_connect(endpoint, kUseTuple);
+}
+
+auto test_caller::Send(std::string aText) -> boost::asio::awaitable<void>
+{
+  co_await boost::asio::async_write(mSocket, boost::asio::buffer(aText), kUseTuple);
+}
+
+auto test_caller::Read() -> boost::asio::awaitable<std::optional<answer>>
+{
+  auto parser = http::response_parser<http::string_body>();
+  auto [error, count] = co_await http::async_read(mSocket, mInput, parser, kUseTuple);
+  if (error) {
+    co_return std::nullopt;
+  }
+  auto response = parser.release();
+  co_return answer{ response.result_int(), response.base(), response.body() };
+}
+
+auto test_caller::ReadsEnd() -> boost::asio::awaitable<bool>
+{
+  auto byte = char();
+  auto [error, count] = co_await mSocket.async_read_some(boost::asio::buffer(&byte, 1), kUseTuple);
+  co_return error&& count == 0;
+}
+
+gateway_fixture::gateway_fixture(std::string aAddress, std::vector<std::string> aSeeds)
+  : mAddress(std::move(aAddress))
+{
+  mLog = std::make_unique<event_log>("test", mMetrics);
+  // Another process may take a port before it is bound here.
+  constexpr auto kAttempts = 20;
+  for (auto attempt = 0; attempt < kAttempts; ++attempt) {
+    if (TryStart(aSeeds)) {
+      return;
+    }
+  }
+  FAIL("no free ports");
+}
+
+auto gateway_fixture::TryStart(const std::vector<std::string>& aSeeds) -> bool
+{
+  const auto ports = FreePorts<2>();
+  mCallerPort = ports[0];
+  mReadyPort = ports[1];
+  auto settings = gateway_settings();
+  settings.mVm = "vm-" + mAddress;
+  settings.mAvailabilityZone = "a";
+  settings.mAddress = mAddress;
+  settings.mCallerListen = "127.0.0.1:" + std::to_string(mCallerPort);
+  settings.mReadyListen = ReadyAddress();
+  // Peers use the same port at other addresses of the loopback network.
+  static auto sPeerPort = FreePorts<1>()[0];
+  if (aSeeds.empty()) {
+    sPeerPort = FreePorts<1>()[0];
+  }
+  settings.mPeerPort = sPeerPort;
+  settings.mOperatorPort = sPeerPort;
+  settings.mSeeds = aSeeds;
+  settings.mStopGrace = std::chrono::seconds(4);
+  mGateway = std::make_unique<entry_gateway>(
+    *mContext, std::move(settings), TestDialect(), Decoder(), *mLog, mMetrics);
+  return boost::leaf::try_handle_all(
+    [&]() -> outcome<bool> {
+      BOOST_LEAF_CHECK(mGateway->Start());
+      return true;
+    },
+    [](const io_failure&) { return false; },
+    [] { return false; });
+}
+
+auto gateway_fixture::Decoder() const -> item_decoder
+{
+  auto decoder = item_decoder();
+  decoder.mDocument =
+    [held = mPublished](const published_items& aItems) -> outcome<std::optional<routing_document>> {
+    const auto* item = aItems.Find("document");
+    if (item == nullptr) {
+      return std::optional<routing_document>();
+    }
+    if (item->mValue == "malformed") {
+      return boost::leaf::new_error(malformed_input{ "not a document" });
+    }
+    // The value is the version; entries that receive it from a peer hold no document of their own.
+    auto document = held->mDocument.mVersion > 0 ? held->mDocument : TestDocument();
+    document.mVersion = std::stoull(item->mValue);
+    return std::optional(std::move(document));
+  };
+  decoder.mEndpoints = [held = mPublished](const published_items&, std::vector<rejected_item>&) {
+    return held->mEndpoints;
+  };
+  return decoder;
+}
+
+auto gateway_fixture::Publish(routing_document aDocument, std::vector<listed_endpoint> aEndpoints)
+  -> void
+{
+  mPublished->mDocument = std::move(aDocument);
+  mPublished->mEndpoints = std::move(aEndpoints);
+  ++mRevision;
+  auto version = std::to_string(mPublished->mDocument.mVersion);
+  mGateway->OnSourceReachable(true);
+  mGateway->OnSnapshot({ mRevision, { { "document", std::move(version), mRevision } } });
+}
+
+auto gateway_fixture::Run(std::function<boost::asio::awaitable<void>()> aTest) -> void
+{
+  auto isDone = false;
+  boost::asio::co_spawn(*mContext, std::move(aTest), [&](std::exception_ptr aFailure) {
+    isDone = true;
+    mContext->stop();
+    if (aFailure) {
+      std::rethrow_exception(aFailure);
+    }
+  });
+  mContext->run_for(kHangTimeout);
+  REQUIRE(isDone);
+}
+
+auto gateway_fixture::Ask(std::string aText)
+  -> boost::asio::awaitable<std::optional<test_caller::answer>>
+{
+  auto caller = test_caller(*mContext);
+  co_await caller.Connect(mCallerPort);
+  co_await caller.Send(std::move(aText));
+  auto answer = co_await caller.Read();
+  co_return answer;
+}
+
+auto gateway_fixture::ReadyAddress() const -> std::string
+{
+  return "127.0.0.1:" + std::to_string(mReadyPort);
+}
+
+auto TestDocument(std::uint64_t aVersion) -> routing_document
+{
+  auto document = routing_document();
+  document.mVersion = aVersion;
+  const auto add = [&document](std::string aName, execution_rule aRule, bool aIsStream) {
+    auto route = route_spec();
+    route.mName = aName;
+    route.mHost = "shop.example";
+    route.mPrefix = "/" + aName + "/";
+    route.mServices = { { "engines", 1 } };
+    route.mExecution = aRule;
+    route.mIsStream = aIsStream;
+    route.mTimeout = std::chrono::seconds(10);
+    route.mObjective = std::chrono::milliseconds(500);
+    route.mMaxAttempts = aRule == execution_rule::Once ? 1 : 2;
+    document.mRoutes.push_back(std::move(route));
+  };
+  add("once", execution_rule::Once, false);
+  add("again", execution_rule::Repeatable, false);
+  add("stream", execution_rule::Once, true);
+  add("resume", execution_rule::Resumable, true);
+  document.mServices = { { "engines", 100, true, 1 } };
+  document.mOrganisations = { { "lamps", { "secret" } } };
+  return document;
+}
+
+auto RequestText(const std::string& aPath, const std::string& aHeaders, const std::string& aId)
+  -> std::string
+{
+  return fmt::format("GET {} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {}\r\n"
+                     "Authorization: Bearer secret\r\n{}\r\n",
+                     aPath,
+                     aId,
+                     aHeaders);
+}
+
+auto SealedAnswer(const http_request& aRequest, const std::string& aBody) -> std::string
+{
+  const auto id = aRequest["Request-Id"];
+  return fmt::format(
+    "HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSeal: s-{}\r\nContent-Length: {}\r\n\r\n{}",
+    std::string_view(id.data(), id.size()),
+    std::string_view(id.data(), id.size()),
+    aBody.size(),
+    aBody);
+}
+
+} // namespace bronzering
