Log the inputs of each decision and explain one request from log files

Refusals and failures carry what decided them: expected and allowed time, requests waiting, revision of the published items, live peers, units and level of the limit, time to come back. Lines carry the wall clock for joining the logs of several VMs; durations are whole microseconds.

--- a/packages/gateway/include/bronzering/gateway.h
+++ b/packages/gateway/include/bronzering/gateway.h
@@ -5,3 +5,4 @@
 #include <bronzering/gateway/gateway_settings.h>
 #include <bronzering/gateway/header_dialect.h>
 #include <bronzering/gateway/http_get.h>
+#include <bronzering/gateway/log_query.h>
--- a/packages/gateway/src/event_log.cpp
+++ b/packages/gateway/src/event_log.cpp
@@ -7,6 +7,7 @@
 #include <spdlog/spdlog.h>
 
 #include <array>
+#include <chrono>
 
 namespace bronzering {
 
@@ -78,8 +79,10 @@
   ++bound.mWritten;
 
   auto line = boost::json::object();
-  line.reserve(aFields.size() + 3);
-  line["at_ms"] = std::chrono::floor<std::chrono::milliseconds>(aNow).time_since_epoch().count();
+  line.reserve(aFields.size() + 4);
+  const auto wall = std::chrono::system_clock::now();
+  line["unix_ms"] = std::chrono::floor<std::chrono::milliseconds>(wall).time_since_epoch().count();
+  line["boot_ms"] = std::chrono::floor<std::chrono::milliseconds>(aNow).time_since_epoch().count();
   line["process"] = mState->mProcess;
   line["event"] = aEvent;
   for (auto& field : aFields) {
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -41,9 +41,9 @@
 constexpr auto kMaxRetryShare = 1.0 / 3;
 constexpr auto kMaxAnswerBytes = std::size_t{ 64 } * 1024 * 1024;
 
-auto ToMilliseconds(duration aDuration) -> double
+auto Micros(duration aDuration) -> std::int64_t
 {
-  return static_cast<double>(aDuration.count()) / 1000;
+  return aDuration.count();
 }
 
 } // namespace
@@ -135,6 +135,7 @@
         : mOrganisation->mPlainUnits;
     const auto wait = mState.mQuotas.Spend(mOrganisation->mName, units, mArrived);
     if (wait > duration::zero()) {
+      mRefusedUnits = units;
       co_await Refuse(429, "limit of the organisation", wait);
       co_return false;
     }
@@ -149,6 +150,7 @@
 {
   for (;;) {
     const auto decision = co_await mState.mWaiter.Wait(Ticket());
+    mDecision = decision;
     if (!decision.mEndpoint) {
       if (mRuns > 0) {
         co_await Fail(502, "no other endpoint for a repeat");
@@ -163,8 +165,8 @@
                       "dispatched",
                       { { "request", mFacts.mId },
                         { "endpoint", endpoint.mId },
-                        { "expected_ms", ToMilliseconds(decision.mExpected) },
-                        { "allowed_ms", ToMilliseconds(decision.mAllowed) },
+                        { "expected_us", Micros(decision.mExpected) },
+                        { "allowed_us", Micros(decision.mAllowed) },
                         { "waiting", decision.mWaiting },
                         { "send", mSends + 1 } },
                       ReadBootClock());
@@ -356,6 +358,7 @@
     mFacts.mPatience.value_or(mRoute == nullptr ? kUnconfiguredRetryAfter * 3 : mRoute->mTimeout);
   const auto left = std::max(duration::zero(), duration(mArrived + patience - now));
   const auto retryAfter = std::min(aRetryAfter, FromSeconds(ToSeconds(left) * kMaxRetryShare));
+  mRetryAfter = retryAfter;
   co_await WriteProblem(aStatus, aReason, true, retryAfter);
   Finish(exchange_end::Refused, aStatus, aReason);
 }
@@ -460,6 +463,23 @@
   return ticket;
 }
 
+auto exchange::AddInputs(boost::json::object& aLine) const -> void
+{
+  aLine["retry_after_us"] = Micros(mRetryAfter);
+  aLine["revision"] = mState.mItems.Revision();
+  aLine["source_reachable"] = mState.mItems.IsSourceReachable();
+  aLine["live_peers"] = mState.mPeers.LivePeers().size();
+  if (mDecision) {
+    aLine["expected_us"] = Micros(mDecision->mExpected);
+    aLine["allowed_us"] = Micros(mDecision->mAllowed);
+    aLine["waiting"] = mDecision->mWaiting;
+  }
+  if (mUnits > 0 || mRefusedUnits > 0) {
+    aLine["units"] = std::max(mUnits, mRefusedUnits);
+    aLine["limit_level"] = mState.mQuotas.Level(mOrganisation->mName, ReadBootClock());
+  }
+}
+
 auto exchange::Finish(exchange_end aEnd, unsigned aStatus, std::string_view aReason) -> void
 {
   mIsFinished = true;
@@ -468,7 +488,7 @@
   auto line = boost::json::object{ { "request", mFacts.mId },
                                    { "outcome", end },
                                    { "status", aStatus },
-                                   { "total_ms", ToMilliseconds(now - mArrived) } };
+                                   { "total_us", Micros(now - mArrived) } };
   if (!aReason.empty()) {
     line["reason"] = aReason;
   }
@@ -476,7 +496,7 @@
     line["route"] = mRoute->mName;
     line["priority"] = mRank.mRoute;
     line["configuration"] = mRoutes->Document().mVersion;
-    line["left_ms"] = ToMilliseconds(mDeadline - now);
+    line["left_us"] = Micros(mDeadline - now);
     line["prompt_tokens"] = mFacts.mEstimated.mPromptTokens;
     line["output_tokens"] = mFacts.mEstimated.mOutputTokens;
   }
@@ -489,11 +509,14 @@
     line["sends"] = mSends;
     line["events"] = mEvents.EventCount();
   }
+  if (aEnd == exchange_end::Refused || aEnd == exchange_end::Failed) {
+    AddInputs(line);
+  }
   if (mFirstSent) {
-    line["sent_ms"] = ToMilliseconds(*mFirstSent - mArrived);
+    line["sent_us"] = Micros(*mFirstSent - mArrived);
   }
   if (mFirstEvent) {
-    line["first_ms"] = ToMilliseconds(*mFirstEvent - mArrived);
+    line["first_us"] = Micros(*mFirstEvent - mArrived);
   }
   mState.mLog.Write(aEnd == exchange_end::Answered ? log_class::Routine : log_class::Notable,
                     "request_ended",
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -97,6 +97,8 @@
   [[nodiscard]] auto TakeRepeat() -> bool;
   [[nodiscard]] auto ComposeRequest(const std::string& aEndpoint) const -> http_request;
   [[nodiscard]] auto Ticket() const -> dispatch_ticket;
+  /// What the decision was taken from, with its version.
+  auto AddInputs(boost::json::object& aLine) const -> void;
   auto Finish(exchange_end aEnd, unsigned aStatus, std::string_view aReason) -> void;
 
   gateway_state& mState;
@@ -110,7 +112,11 @@
   const route_spec* mRoute = nullptr;
   const organisation_spec* mOrganisation = nullptr;
   std::string mService;
+  /// Units taken from the organisation's limit, or asked for and refused.
   double mUnits = 0;
+  double mRefusedUnits = 0;
+  std::optional<dispatch_decision> mDecision;
+  duration mRetryAfter{};
   request_rank mRank;
   time_point mDeadline;
 
--- /dev/null
+++ b/packages/gateway/src/log_query.cpp
@@ -0,0 +1,88 @@
+#include <bronzering/gateway/log_query.h>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+#include <istream>
+#include <optional>
+#include <utility>
+
+namespace bronzering {
+
+namespace {
+
+using timed_line = std::pair<std::int64_t, boost::json::object>;
+
+/// The line's object if it concerns the request.
+auto ReadLine(std::string_view aLine, std::string_view aRequest) -> std::optional<timed_line>
+{
+  const auto begin = aLine.find('{');
+  if (begin == std::string_view::npos || aLine.find(aRequest) == std::string_view::npos) {
+    return std::nullopt;
+  }
+  auto error = boost::json::error_code();
+  auto value = boost::json::parse(aLine.substr(begin), error);
+  if (error || !value.is_object()) {
+    return std::nullopt;
+  }
+  auto& object = value.get_object();
+  const auto* request = object.if_contains("request");
+  const auto* time = object.if_contains("unix_ms");
+  if (request == nullptr || !request->is_string() || request->get_string() != aRequest ||
+      time == nullptr || !time->is_int64()) {
+    return std::nullopt;
+  }
+  return timed_line(time->get_int64(), std::move(object));
+}
+
+auto Text(const boost::json::value& aValue) -> std::string
+{
+  return aValue.is_string() ? std::string(aValue.get_string()) : boost::json::serialize(aValue);
+}
+
+auto Row(const timed_line& aLine, std::int64_t aFirst) -> std::string
+{
+  const auto field = [&aLine](std::string_view aName) {
+    const auto* value = aLine.second.if_contains(aName);
+    return value == nullptr ? std::string("-") : Text(*value);
+  };
+  auto row =
+    fmt::format("{:>+8} ms  {}  {}:", aLine.first - aFirst, field("process"), field("event"));
+  for (const auto& entry : aLine.second) {
+    const auto name = std::string_view(entry.key().data(), entry.key().size());
+    if (name != "unix_ms" && name != "boot_ms" && name != "process" && name != "event" &&
+        name != "request") {
+      row += fmt::format(" {}={}", name, Text(entry.value()));
+    }
+  }
+  return row + '\n';
+}
+
+} // namespace
+
+auto ExplainRequest(std::string_view aRequest, const std::vector<std::istream*>& aLogs)
+  -> std::string
+{
+  auto lines = std::vector<timed_line>();
+  for (auto* log : aLogs) {
+    auto text = std::string();
+    while (std::getline(*log, text)) {
+      if (auto line = ReadLine(text, aRequest)) {
+        lines.push_back(std::move(*line));
+      }
+    }
+  }
+  std::stable_sort(lines.begin(), lines.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  auto result = std::string();
+  for (const auto& line : lines) {
+    result += Row(line, lines.front().first);
+  }
+  return result;
+}
+
+} // namespace bronzering
--- /dev/null
+++ b/packages/gateway/tests/log_query_test.cpp
@@ -0,0 +1,28 @@
+#include <bronzering/gateway/log_query.h>
+
+#include <catch2/catch.hpp>
+
+#include <sstream>
+
+using namespace bronzering;
+
+TEST_CASE("one request's lines are found in several logs and sorted by time", "[log_query]")
+{
+  auto first = std::istringstream(
+    R"({"unix_ms":1000,"boot_ms":1,"process":"a","event":"dispatched","request":"r1","endpoint":"e1"})"
+    "\nnot a log line with r1\n"
+    R"({"unix_ms":1010,"process":"a","event":"request_ended","request":"r2"})"
+    "\n{broken r1\n");
+  auto second = std::istringstream(
+    R"(12.5 b {"unix_ms":1234,"boot_ms":9,"process":"b","event":"request_ended","request":"r1","status":503})"
+    "\n");
+  const auto text = ExplainRequest("r1", { &second, &first });
+  CHECK(text == "      +0 ms  a  dispatched: endpoint=e1\n"
+                "    +234 ms  b  request_ended: status=503\n");
+}
+
+TEST_CASE("an unknown request has no lines", "[log_query]")
+{
+  auto log = std::istringstream(R"({"unix_ms":1,"event":"dispatched","request":"r10"})");
+  CHECK(ExplainRequest("r1", { &log }).empty());
+}
