Remove what a peer no longer lists while the own source is away

Two entries were turned away by the store from second 2 to 10; they took the items from a peer, but kept four endpoints that were gone until second 14, because removals are deferred while the source is away. A peer has already waited for lapsed items. The new test fails without the change.

--- a/packages/dispatch/include/bronzering/dispatch/published_items.h
+++ b/packages/dispatch/include/bronzering/dispatch/published_items.h
@@ -28,6 +28,14 @@
   std::vector<published_item> mItems;
 };
 
+/// Who delivered a snapshot.
+enum class item_origin
+{
+  Source,
+  /// Another entry, which has already waited for items that lapsed during an outage.
+  Peer
+};
+
 /// This entry's copy of what the platform publishes, fed by the platform's source and, while that
 /// cannot be reached, by peers. It never goes back: a snapshot or change that is older than the
 /// copy is ignored. Items that lapse by themselves may vanish while the source is away although
@@ -41,8 +49,8 @@
 
   /// All items as of a revision, read from the source or received from a peer. False when it was
   /// ignored for its age.
-  auto ApplySnapshot(published_snapshot aSnapshot, time_point aNow) -> bool;
-  /// One item was written or, with an empty value, removed. False when it was ignored.
+  auto ApplySnapshot(published_snapshot aSnapshot, item_origin aOrigin, time_point aNow) -> bool;
+  /// One item was written or removed. False when the change was ignored.
   auto ApplyWrite(published_item aItem, time_point aNow) -> bool;
   auto ApplyRemoval(std::string_view aKey, std::uint64_t aRevision, time_point aNow) -> bool;
   /// All changes up to this revision have been applied.
@@ -68,7 +76,8 @@
 
 private:
   [[nodiscard]] auto DefersRemovals(time_point aNow) const -> bool;
-  auto Remove(std::string_view aKey, time_point aNow) -> void;
+  /// Removes the item, or keeps it as lapsed.
+  auto Remove(const std::string& aKey, bool aIsDeferred) -> void;
 
   std::map<std::string, published_item, std::less<>> mItems;
   /// Items that the source no longer lists and that may come back.
--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -4,7 +4,9 @@
 
 namespace bronzering {
 
-auto published_items::ApplySnapshot(published_snapshot aSnapshot, time_point aNow) -> bool
+auto published_items::ApplySnapshot(published_snapshot aSnapshot,
+                                    item_origin aOrigin,
+                                    time_point aNow) -> bool
 {
   if (aSnapshot.mRevision < mRevision) {
     return false;
@@ -21,8 +23,9 @@
       missing.push_back(key);
     }
   }
+  const auto isDeferred = aOrigin == item_origin::Source && DefersRemovals(aNow);
   for (const auto& key : missing) {
-    Remove(key, aNow);
+    Remove(key, isDeferred);
   }
   AdvanceTo(aSnapshot.mRevision);
   return true;
@@ -47,7 +50,7 @@
   if (found == mItems.end() || found->second.mRevision > aRevision) {
     return false;
   }
-  Remove(std::string(aKey), aNow);
+  Remove(std::string(aKey), DefersRemovals(aNow));
   return true;
 }
 
@@ -104,13 +107,13 @@
   return !mIsReachable || (mWasLost && aNow - mChangedAt < kReturnGrace);
 }
 
-auto published_items::Remove(std::string_view aKey, time_point aNow) -> void
+auto published_items::Remove(const std::string& aKey, bool aIsDeferred) -> void
 {
-  if (DefersRemovals(aNow)) {
-    mLapsed.emplace(aKey);
+  if (aIsDeferred) {
+    mLapsed.insert(aKey);
   } else {
-    mItems.erase(std::string(aKey));
-    mLapsed.erase(std::string(aKey));
+    mItems.erase(aKey);
+    mLapsed.erase(aKey);
   }
 }
 
--- a/packages/dispatch/tests/published_items_test.cpp
+++ b/packages/dispatch/tests/published_items_test.cpp
@@ -13,7 +13,8 @@
 {
   auto items = published_items();
   items.SetSourceReachable(true, kStart);
-  items.ApplySnapshot({ 10, { { "document", "v1", 4 }, { "endpoint", "e", 9 } } }, kStart);
+  items.ApplySnapshot(
+    { 10, { { "document", "v1", 4 }, { "endpoint", "e", 9 } } }, item_origin::Source, kStart);
   return items;
 }
 
@@ -24,9 +25,9 @@
   auto items = Items();
   REQUIRE(items.ApplyWrite({ "document", "v2", 12 }, kStart));
   CHECK(!items.ApplyWrite({ "document", "v1", 4 }, kStart));
-  CHECK(!items.ApplySnapshot({ 9, { { "document", "v1", 4 } } }, kStart));
+  CHECK(!items.ApplySnapshot({ 9, { { "document", "v1", 4 } } }, item_origin::Source, kStart));
   items.AdvanceTo(12);
-  CHECK(!items.ApplySnapshot({ 11, {} }, kStart));
+  CHECK(!items.ApplySnapshot({ 11, {} }, item_origin::Source, kStart));
   CHECK(items.Find("document")->mValue == "v2");
   CHECK(!items.ApplyRemoval("document", 11, kStart));
 }
@@ -36,7 +37,7 @@
 {
   auto items = Items();
   REQUIRE(items.ApplyWrite({ "late", "e", 14 }, kStart));
-  REQUIRE(items.ApplySnapshot({ 12, { { "document", "v1", 4 } } }, kStart));
+  REQUIRE(items.ApplySnapshot({ 12, { { "document", "v1", 4 } } }, item_origin::Source, kStart));
   CHECK(items.Find("endpoint") == nullptr);
   CHECK(items.Find("late") != nullptr);
 }
@@ -74,7 +75,18 @@
 TEST_CASE("a snapshot from a peer is used while the source is away", "[published_items]")
 {
   auto items = published_items();
-  CHECK(items.ApplySnapshot(Items().Snapshot(), kStart));
+  CHECK(items.ApplySnapshot(Items().Snapshot(), item_origin::Peer, kStart));
   CHECK(items.Revision() == 10);
   CHECK(items.Find("document")->mValue == "v1");
 }
+
+// An entry that the source turns away would otherwise go on using an endpoint that is gone, for as
+// long as it is turned away.
+TEST_CASE("what a peer's snapshot no longer lists is removed while the own source is away",
+          "[published_items]")
+{
+  auto items = Items();
+  items.SetSourceReachable(false, kStart);
+  CHECK(items.ApplySnapshot({ 12, { { "document", "v1", 4 } } }, item_origin::Peer, kStart + 1s));
+  CHECK(items.Find("endpoint") == nullptr);
+}
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -211,7 +211,8 @@
     auto snapshot = answer && answer->mStatus == 200 ? DecodeSnapshot(answer->mBody) : std::nullopt;
     const auto now = ReadBootClock();
     const auto fetched = snapshot ? snapshot->mRevision : 0;
-    const auto isApplied = snapshot && mShared.mItems.ApplySnapshot(std::move(*snapshot), now);
+    const auto isApplied =
+      snapshot && mShared.mItems.ApplySnapshot(std::move(*snapshot), item_origin::Peer, now);
     mShared.mLog.Write(log_class::Notable,
                        "items_from_peer",
                        { { "peer", *peer }, { "revision", fetched }, { "applied", isApplied } },
@@ -344,7 +345,8 @@
 
 auto entry_gateway::OnSnapshot(published_snapshot aSnapshot) -> void
 {
-  if (mState->mShared.mItems.ApplySnapshot(std::move(aSnapshot), ReadBootClock())) {
+  if (mState->mShared.mItems.ApplySnapshot(
+        std::move(aSnapshot), item_origin::Source, ReadBootClock())) {
     mState->AdoptDocument();
     mState->AdoptEndpoints();
   }
