Serve callers that come back while all entries restart

After all entries were killed, 67 requests were refused in the 80 ms that a process takes to read its first configuration, and 96 by limits, because a bucket started empty. Change: requests wait up to 0.4 s for the first configuration. Buckets start with half of the burst, and are emptied where a peer has been running for longer.

--- a/packages/dispatch/include/bronzering/dispatch/quota_ledger.h
+++ b/packages/dispatch/include/bronzering/dispatch/quota_ledger.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -58,6 +59,9 @@
                       std::uint64_t aIncarnation,
                       const std::vector<organisation_spending>& aTotals,
                       time_point aNow) -> void;
+  /// A peer has been running for a while, so this entry alone is new and the fleet's burst may be
+  /// spent. Empties the buckets if this entry has just started.
+  auto OnEstablishedPeer(time_point aNow) -> void;
   /// The peer said goodbye: nothing more is charged for it.
   auto OnPeerStopped(std::string_view aPeer) -> void;
 
@@ -95,6 +99,8 @@
   auto ChargeSilentPeers(std::uint64_t aKey, bucket& aBucket, time_point aNow) -> void;
 
   quota_tolerance mTolerance;
+  std::optional<time_point> mStarted;
+  bool mIsEstablished = false;
   std::unordered_map<std::uint64_t, bucket> mBuckets;
   std::map<std::string, peer_state, std::less<>> mPeers;
 };
--- a/packages/dispatch/src/quota_ledger.cpp
+++ b/packages/dispatch/src/quota_ledger.cpp
@@ -10,6 +10,11 @@
 
 /// Averaging time of a peer's spending rate.
 constexpr auto kRateWindow = duration(std::chrono::seconds(2));
+/// Share of the burst that is granted at the start. All entries may restart at once, and the burst
+/// may have been spent just before.
+constexpr auto kFirstBurstShare = 0.5;
+/// Time within which a started entry hears of peers that have been running for longer.
+constexpr auto kNewFor = duration(std::chrono::seconds(2));
 /// A peer that reports at least this often is charged by its reports alone.
 constexpr auto kSilentAfter = duration(std::chrono::milliseconds(300));
 
@@ -23,6 +28,7 @@
 auto quota_ledger::Configure(const std::vector<organisation_spec>& aOrganisations, time_point aNow)
   -> void
 {
+  mStarted = mStarted.value_or(aNow);
   auto previous = std::move(mBuckets);
   mBuckets.clear();
   for (const auto& organisation : aOrganisations) {
@@ -31,10 +37,13 @@
     const auto slack = organisation.mRate > 0 ? mTolerance.mSlack : 0;
     auto next =
       bucket{ organisation.mRate * factor, organisation.mBurst * factor + slack, 0, 0, aNow };
+    next.mLevel = mIsEstablished ? 0 : next.mBurst * kFirstBurstShare;
     if (const auto found = previous.find(key); found != previous.end()) {
       Refill(key, found->second, aNow);
       next.mOwnTotal = found->second.mOwnTotal;
-      next.mLevel = found->second.mRate > 0 ? std::min(found->second.mLevel, next.mBurst) : 0;
+      if (found->second.mRate > 0) {
+        next.mLevel = std::min(found->second.mLevel, next.mBurst);
+      }
     }
     mBuckets.emplace(key, next);
   }
@@ -112,6 +121,21 @@
   }
 }
 
+auto quota_ledger::OnEstablishedPeer(time_point aNow) -> void
+{
+  if (mIsEstablished) {
+    return;
+  }
+  mIsEstablished = true;
+  if (mStarted && aNow - *mStarted > kNewFor) {
+    return;
+  }
+  for (auto& [key, own] : mBuckets) {
+    Refill(key, own, aNow);
+    own.mLevel = std::min(own.mLevel, 0.0);
+  }
+}
+
 auto quota_ledger::OnPeerStopped(std::string_view aPeer) -> void
 {
   if (const auto found = mPeers.find(aPeer); found != mPeers.end()) {
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -251,6 +251,7 @@
     mShared.mRepeats[service.mName].Configure(mShared.mSettings.mRepeats);
   }
   mShared.mRoutes = table;
+  mShared.mDocumentKnown.cancel();
   mShared.mWaiter.Wake();
   mShared.mLog.Write(log_class::Notable,
                      "configuration_adopted",
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -36,6 +36,7 @@
 constexpr auto kLastStreamAfterStop = duration(std::chrono::milliseconds(2'800));
 constexpr auto kLastRequestAfterStop = duration(std::chrono::milliseconds(5'500));
 constexpr auto kStoppingRetryAfter = duration(std::chrono::milliseconds(50));
+constexpr auto kUnconfiguredWait = duration(std::chrono::milliseconds(400));
 constexpr auto kUnconfiguredRetryAfter = duration(std::chrono::milliseconds(500));
 /// Callers honour a time to come back up to this share of the time they have left.
 constexpr auto kMaxRetryShare = 1.0 / 3;
@@ -93,7 +94,14 @@
 
 auto exchange::Admit() -> boost::asio::awaitable<bool>
 {
-  // A process that knows no configuration cannot tell what is allowed.
+  // A process that knows no configuration cannot tell what is allowed. After a start it takes a
+  // moment.
+  if (!mRoutes) {
+    co_await Within(
+      mState.mDocumentKnown.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable)),
+      kUnconfiguredWait);
+    mRoutes = mState.mRoutes;
+  }
   if (!mRoutes) {
     co_await Refuse(503, "no configuration yet", kUnconfiguredRetryAfter);
     co_return false;
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -16,6 +16,7 @@
 #include "endpoint_connections.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <map>
@@ -43,7 +44,9 @@
     , mConnections(aContext)
     , mQuotas(mSettings.mQuotaTolerance)
     , mPeers(mSettings.mAddress)
+    , mDocumentKnown(aContext)
   {
+    mDocumentKnown.expires_at(boost::asio::steady_timer::time_point::max());
   }
 
   boost::asio::io_context& mContext;
@@ -63,6 +66,8 @@
   /// By service.
   std::map<std::string, repeat_budget, std::less<>> mRepeats;
   peer_table mPeers;
+  /// Cancelled when the first routing document is adopted.
+  boost::asio::steady_timer mDocumentKnown;
   std::uint64_t mExchanges = 0;
   bool mIsStopping = false;
   /// When the stop began; only while mIsStopping.
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -21,6 +21,8 @@
 constexpr auto kDigestInterval = duration(std::chrono::milliseconds(40));
 constexpr auto kIntervalPerPeer = duration(std::chrono::milliseconds(5));
 constexpr auto kFullDigestEvery = 20U;
+/// A sender that has sent so many digests has been running for four seconds at least.
+constexpr auto kEstablishedSequence = 100U;
 
 } // namespace
 
@@ -66,6 +68,9 @@
     if (!digest || !mState.mPeers.OnDigest(*digest, now)) {
       continue;
     }
+    if (digest->mSequence > kEstablishedSequence) {
+      mState.mQuotas.OnEstablishedPeer(now);
+    }
     if (digest->mIsLeaving) {
       mState.mQuotas.OnPeerStopped(digest->mSender);
     } else {
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -88,6 +88,24 @@
   });
 }
 
+// After a restart of all entries callers come back before the configuration has been read.
+TEST_CASE("a request that comes shortly before the configuration is served", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", Echo);
+  fixture.Run([&]() -> awaitable<void> {
+    auto caller = test_caller(fixture.Context());
+    co_await caller.Connect(fixture.CallerPort());
+    auto request = RequestText("/once/x");
+    co_await caller.Send(std::move(request));
+    co_await Pause(fixture.Context(), 20ms);
+    fixture.Publish(TestDocument(), { endpoint.Listed() });
+    const auto answer = co_await caller.Read();
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+  });
+}
+
 TEST_CASE("unknown routes and keys are rejected", "[entry_gateway]")
 {
   auto fixture = gateway_fixture();
