--- a/packages/gateway/include/bronzering/gateway/http_get.h
+++ b/packages/gateway/include/bronzering/gateway/http_get.h
@@ -25,7 +25,7 @@
 {
 public:
   /// aAddress is numeric, "address:port".
-  http_get_client(boost::asio::any_io_executor aExecutor,
+  http_get_client(const boost::asio::any_io_executor& aExecutor,
                   std::string aAddress,
                   std::size_t aMaxBodyBytes);
 
--- a/packages/gateway/src/http_get.cpp
+++ b/packages/gateway/src/http_get.cpp
@@ -14,12 +14,12 @@
 namespace http = boost::beast::http;
 constexpr auto kUseTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 
-http_get_client::http_get_client(boost::asio::any_io_executor aExecutor,
+http_get_client::http_get_client(const boost::asio::any_io_executor& aExecutor,
                                  std::string aAddress,
                                  std::size_t aMaxBodyBytes)
   : mAddress(std::move(aAddress))
   , mMaxBodyBytes(aMaxBodyBytes)
-  , mSocket(std::move(aExecutor))
+  , mSocket(aExecutor)
 {
 }
 
