--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -122,8 +122,6 @@
   /// What this entry has learned itself.
   [[nodiscard]] auto OwnSpeeds() const -> std::vector<endpoint_speed>;
 
-  /// Whether the endpoint is listed and not leaving.
-  [[nodiscard]] auto IsUsable(const std::string& aEndpoint) const -> bool;
   [[nodiscard]] auto Endpoints() const -> std::vector<listed_endpoint>;
   [[nodiscard]] auto ServiceOf(std::string_view aName) const -> const service_spec*;
 
--- a/packages/dispatch/include/bronzering/dispatch/published_items.h
+++ b/packages/dispatch/include/bronzering/dispatch/published_items.h
@@ -4,7 +4,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -59,8 +58,6 @@
   /// The source answers again, or no longer does.
   auto SetSourceReachable(bool aIsReachable, time_point aNow) -> void;
   [[nodiscard]] auto IsSourceReachable() const -> bool { return mIsReachable; }
-  /// Since when the source has been unreachable; empty while it is reachable.
-  [[nodiscard]] auto UnreachableSince() const -> std::optional<time_point>;
 
   /// Drops lapsed items whose time to come back is over. True when any was dropped.
   auto DropLapsed(time_point aNow) -> bool;
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -294,12 +294,6 @@
   return speeds;
 }
 
-auto endpoint_table::IsUsable(const std::string& aEndpoint) const -> bool
-{
-  const auto found = mEndpoints.find(aEndpoint);
-  return found != mEndpoints.end() && !found->second.mListed.mIsLeaving;
-}
-
 auto endpoint_table::Endpoints() const -> std::vector<listed_endpoint>
 {
   auto endpoints = std::vector<listed_endpoint>();
--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -69,11 +69,6 @@
   mChangedAt = aNow;
 }
 
-auto published_items::UnreachableSince() const -> std::optional<time_point>
-{
-  return mIsReachable ? std::nullopt : std::optional(mChangedAt);
-}
-
 auto published_items::DropLapsed(time_point aNow) -> bool
 {
   if (mLapsed.empty() || DefersRemovals(aNow)) {
--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -93,14 +93,7 @@
     co_return std::nullopt;
   }
   if (const auto error = std::get<0>(*header)) {
-    if (error == http::error::header_limit) {
-      co_await Reject(431);
-    } else if (error == http::error::body_limit) {
-      co_await Reject(413);
-    } else if (error.category() == http::make_error_code(http::error::bad_method).category() &&
-               error != http::error::end_of_stream && error != http::error::partial_message) {
-      co_await Reject(400);
-    }
+    co_await RejectMalformed(error);
     co_return std::nullopt;
   }
   if (!HasPlainFraming(parser.get().base())) {
@@ -120,12 +113,7 @@
     co_return std::nullopt;
   }
   if (const auto error = std::get<0>(*body)) {
-    if (error == http::error::body_limit) {
-      co_await Reject(413);
-    } else if (error != http::error::partial_message && error != http::error::end_of_stream &&
-               error.category() == http::make_error_code(http::error::bad_method).category()) {
-      co_await Reject(400);
-    }
+    co_await RejectMalformed(error);
     co_return std::nullopt;
   }
   co_return parser.release();
@@ -167,6 +155,22 @@
   co_await never.async_wait(kUseTuple);
 }
 
+auto caller_session::RejectMalformed(boost::system::error_code aError)
+  -> boost::asio::awaitable<void>
+{
+  const auto isParserError =
+    aError.category() == http::make_error_code(http::error::bad_method).category();
+  if (!isParserError || aError == http::error::end_of_stream ||
+      aError == http::error::partial_message) {
+    // The caller is gone.
+    co_return;
+  }
+  const auto status = aError == http::error::header_limit ? 431U
+                      : aError == http::error::body_limit ? 413U
+                                                          : 400U;
+  co_await Reject(status);
+}
+
 auto caller_session::Reject(unsigned aStatus) -> boost::asio::awaitable<void>
 {
   mState.mLog.Write(log_class::Notable,
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -24,7 +24,6 @@
   auto Run() -> boost::asio::awaitable<void>;
   /// Closes the connection now if it waits for a request.
   auto CloseIfIdle() -> void;
-  [[nodiscard]] auto IsIdle() const -> bool { return mIsIdle; }
 
 private:
   auto AwaitRequest() -> boost::asio::awaitable<bool>;
@@ -32,6 +31,8 @@
   auto ServeRequest(http_request aRequest) -> boost::asio::awaitable<bool>;
   /// Returns when the caller has closed its connection.
   auto AwaitDeparture() -> boost::asio::awaitable<void>;
+  /// Answers a request that the parser turned away; nothing if the connection ended.
+  auto RejectMalformed(boost::system::error_code aError) -> boost::asio::awaitable<void>;
   auto Reject(unsigned aStatus) -> boost::asio::awaitable<void>;
   /// Closes in order, so that the caller reads the last answer.
   auto Close() -> void;
--- a/packages/gateway/src/endpoint_connections.cpp
+++ b/packages/gateway/src/endpoint_connections.cpp
@@ -26,7 +26,7 @@
                                 const std::string& aAddress,
                                 duration aMaxIdle,
                                 duration aTimeout)
-  -> boost::asio::awaitable<std::optional<connection>>
+  -> boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>>
 {
   const auto now = ReadBootClock();
   auto& idle = mIdle[aEndpoint];
@@ -34,7 +34,7 @@
     auto kept = std::move(idle.back());
     idle.pop_back();
     if (now < kept.mUsableUntil && now - kept.mSince <= aMaxIdle && IsQuiet(kept.mSocket)) {
-      co_return connection{ std::move(kept.mSocket), true };
+      co_return std::move(kept.mSocket);
     }
   }
 
@@ -49,7 +49,7 @@
     co_return std::nullopt;
   }
   ConfigureSocket(socket);
-  co_return connection{ std::move(socket), false };
+  co_return socket;
 }
 
 auto endpoint_connections::Give(const std::string& aEndpoint,
@@ -76,13 +76,4 @@
   }
 }
 
-auto endpoint_connections::IdleCount() const -> std::size_t
-{
-  auto count = std::size_t{ 0 };
-  for (const auto& [endpoint, idle] : mIdle) {
-    count += idle.size();
-  }
-  return count;
-}
-
 } // namespace bronzering
--- a/packages/gateway/src/endpoint_connections.h
+++ b/packages/gateway/src/endpoint_connections.h
@@ -19,13 +19,6 @@
 class endpoint_connections
 {
 public:
-  struct connection
-  {
-    boost::asio::ip::tcp::socket mSocket;
-    /// It has carried a request before, so the endpoint may be closing it.
-    bool mIsReused = false;
-  };
-
   explicit endpoint_connections(boost::asio::io_context& aContext);
 
   /// A kept connection that may stay idle no longer than aMaxIdle, or a new one; empty when the
@@ -33,7 +26,8 @@
   auto Take(const std::string& aEndpoint,
             const std::string& aAddress,
             duration aMaxIdle,
-            duration aTimeout) -> boost::asio::awaitable<std::optional<connection>>;
+            duration aTimeout)
+    -> boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>>;
   /// Keeps a connection whose answer was read to its end. aIdleLimit is how long the endpoint keeps
   /// it open.
   auto Give(const std::string& aEndpoint,
@@ -42,7 +36,6 @@
             time_point aNow) -> void;
   /// Closes kept connections that are too old and those of endpoints that are not in aEndpoints.
   auto Prune(const std::vector<std::string>& aEndpoints, time_point aNow) -> void;
-  [[nodiscard]] auto IdleCount() const -> std::size_t;
 
 private:
   struct idle_connection
--- a/packages/gateway/src/engine_call.cpp
+++ b/packages/gateway/src/engine_call.cpp
@@ -63,8 +63,7 @@
   if (!taken) {
     co_return false;
   }
-  mSocket = std::move(taken->mSocket);
-  mIsReused = taken->mIsReused;
+  mSocket = std::move(*taken);
   co_return true;
 }
 
--- a/packages/gateway/src/engine_call.h
+++ b/packages/gateway/src/engine_call.h
@@ -50,7 +50,6 @@
   /// Precondition: Send returned true.
   [[nodiscard]] auto Status() const -> unsigned { return mParser->get().result_int(); }
   [[nodiscard]] auto Fields() const -> const http_fields& { return mParser->get().base(); }
-  [[nodiscard]] auto IsReused() const -> bool { return mIsReused; }
 
 private:
   using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -68,9 +67,7 @@
   boost::beast::flat_buffer mInput;
   std::optional<response_parser> mParser;
   std::array<char, 8UL * 1024> mPart = {};
-  bool mIsReused = false;
   bool mIsWritten = false;
-  bool mHasAnyInput = false;
 };
 
 } // namespace bronzering
--- a/packages/gateway/src/event_splitter.cpp
+++ b/packages/gateway/src/event_splitter.cpp
@@ -1,6 +1,7 @@
 #include "event_splitter.h"
 
-#include <charconv>
+#include "text_number.h"
+
 #include <optional>
 
 namespace bronzering {
@@ -29,14 +30,6 @@
   return {};
 }
 
-auto ReadNumber(std::string_view aText) -> std::optional<std::uint64_t>
-{
-  auto number = std::uint64_t{ 0 };
-  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  return error == std::errc() && end == aText.data() + aText.size() ? std::optional(number)
-                                                                    : std::nullopt;
-}
-
 /// The end of the first whole event, after the empty line that ends it; npos when there is none.
 auto FindEventEnd(std::string_view aBytes) -> std::size_t
 {
--- a/packages/gateway/src/request_fields.cpp
+++ b/packages/gateway/src/request_fields.cpp
@@ -1,9 +1,10 @@
 #include "request_fields.h"
 
+#include "text_number.h"
+
 #include <boost/algorithm/string/predicate.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
-#include <charconv>
 #include <vector>
 
 namespace bronzering {
@@ -12,14 +13,6 @@
 
 namespace {
 
-auto ReadNumber(std::string_view aText) -> std::optional<std::uint64_t>
-{
-  auto number = std::uint64_t{ 0 };
-  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
-  return error == std::errc() && end == aText.data() + aText.size() ? std::optional(number)
-                                                                    : std::nullopt;
-}
-
 auto View(boost::beast::string_view aText) -> std::string_view
 {
   return { aText.data(), aText.size() };
--- /dev/null
+++ b/packages/gateway/src/text_number.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace bronzering {
+
+/// A whole number that takes up the whole text; empty otherwise. Thread-safe.
+[[nodiscard]] inline auto ReadNumber(std::string_view aText) -> std::optional<std::uint64_t>
+{
+  auto number = std::uint64_t{ 0 };
+  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), number);
+  return error == std::errc() && end == aText.data() + aText.size() ? std::optional(number)
+                                                                    : std::nullopt;
+}
+
+} // namespace bronzering
