Test that a stalled reader delays nothing and that the log's bounds hold

Ten times the bound of lines is written while nobody reads the output: the calls return, the bound is kept, and what was left out is counted and reported.

--- /dev/null
+++ b/packages/gateway/tests/event_log_test.cpp
@@ -0,0 +1,108 @@
+#include <bronzering/gateway/event_log.h>
+
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <string>
+#include <thread>
+
+using namespace bronzering;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto kStart = time_point(1h);
+
+/// Standard output as a pipe that nobody reads until Drain.
+class stalled_output
+{
+public:
+  stalled_output()
+  {
+    std::fflush(stdout);
+    mSaved = ::dup(STDOUT_FILENO);
+    REQUIRE(::pipe(mPipe.data()) == 0);
+    ::dup2(mPipe[1], STDOUT_FILENO);
+    ::close(mPipe[1]);
+  }
+  ~stalled_output() { ::close(mSaved); }
+  stalled_output(const stalled_output&) = delete;
+  auto operator=(const stalled_output&) -> stalled_output& = delete;
+
+  /// Reads everything that is written until aFinish has returned, and restores the output.
+  template<class Finish>
+  auto Drain(Finish aFinish) -> std::string
+  {
+    auto text = std::string();
+    auto reader = std::thread([this, &text] {
+      auto part = std::array<char, 4096>();
+      for (auto count = ::read(mPipe[0], part.data(), part.size()); count > 0;
+           count = ::read(mPipe[0], part.data(), part.size())) {
+        text.append(part.data(), static_cast<std::size_t>(count));
+      }
+    });
+    aFinish();
+    std::fflush(stdout);
+    ::dup2(mSaved, STDOUT_FILENO);
+    reader.join();
+    ::close(mPipe[0]);
+    return text;
+  }
+
+private:
+  int mSaved = -1;
+  std::array<int, 2> mPipe = {};
+};
+
+auto CountOf(const std::string& aText, const std::string& aPart) -> std::size_t
+{
+  auto count = std::size_t{ 0 };
+  for (auto at = aText.find(aPart); at != std::string::npos; at = aText.find(aPart, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+} // namespace
+
+TEST_CASE("a reader that stalls delays nothing, and lines over the bound are counted",
+          "[event_log]")
+{
+  auto metrics = metrics_registry();
+  auto output = stalled_output();
+  auto log = std::make_unique<event_log>("vm-1", metrics);
+
+  // Ten times the bound, and more bytes than a pipe holds.
+  constexpr auto kLines = 10 * event_log::kNotableLines;
+  const auto padding = std::string(1000, 'x');
+  for (auto line = 0U; line < kLines; ++line) {
+    log->Write(log_class::Notable, "refused", { { "padding", padding } }, kStart);
+  }
+  log->Write(log_class::Notable, "later", {}, kStart + 1s);
+
+  const auto text = output.Drain([&log] { log.reset(); });
+  CHECK(CountOf(text, "\"event\":\"refused\"") == event_log::kNotableLines);
+  CHECK(metrics.Counter("bronzering_log_lines_left_out_total").Value() ==
+        kLines - event_log::kNotableLines);
+  CHECK(CountOf(text,
+                "\"event\":\"lines_left_out\",\"count\":" +
+                  std::to_string(kLines - event_log::kNotableLines)) == 1);
+  CHECK(CountOf(text, "\"event\":\"later\"") == 1);
+}
+
+TEST_CASE("routine lines do not use up the bound of notable ones", "[event_log]")
+{
+  auto metrics = metrics_registry();
+  auto output = stalled_output();
+  auto log = std::make_unique<event_log>("vm-1", metrics);
+  for (auto line = 0U; line < 2 * event_log::kRoutineLines; ++line) {
+    log->Write(log_class::Routine, "dispatched", {}, kStart);
+  }
+  log->Write(log_class::Notable, "refused", { { "request", "r1" } }, kStart);
+  const auto text = output.Drain([&log] { log.reset(); });
+  CHECK(CountOf(text, "\"event\":\"dispatched\"") == event_log::kRoutineLines);
+  CHECK(CountOf(text, "\"process\":\"vm-1\",\"event\":\"refused\",\"request\":\"r1\"") == 1);
+}
