Send the test's commands one at a time, as agents do

The engine rejects a token below one seen before, so if 9 arrives first, 7 is rejected and the model stays v3; no other order leads to the state seen. The test now waits for the first result, and also checks that both commands were accepted, which it did not before.

--- a/packages/fakes/tests/engine_client_test.cpp
+++ b/packages/fakes/tests/engine_client_test.cpp
@@ -302,12 +302,16 @@
   const auto stored = fixture.Read([&] { return fixture.mCacheEvents.front().mStored; });
   CHECK(stored == HashPromptBlocks("m", prompt));
 
+  // One command at a time, as agents send them: of two at once the later token may arrive first,
+  // and the engine then rejects the other.
   fixture.mClient.Apply(command_engine{ 7, engine_command_kind::LoadModel, "v4" });
+  fixture.WaitFor([&] { return fixture.mResults.size() == 1; });
   fixture.mClient.Apply(command_engine{ 9, engine_command_kind::LoadAdapter, "driftwood" });
   fixture.WaitFor([&] { return fixture.mResults.size() == 2; });
   fixture.mClient.Apply(command_engine{ 8, engine_command_kind::LoadModel, "v3" });
   fixture.WaitFor([&] { return fixture.mResults.size() == 3; });
   CHECK(fixture.mResults[0].mAccepted);
+  CHECK(fixture.mResults[1].mAccepted);
   CHECK_FALSE(fixture.mResults[2].mAccepted);
   CHECK(fixture.mResults[2].mFencingToken == 8);
   CHECK(fixture.mResults[2].mWhat == "the fencing token is below one seen before");
