Trace the two random-fault cases to the harness and mend it

Cause: each minimised schedule was traced event by event.

Change: a paused process keeps one queue of events and reads it in order; pauses extend one another; declines, silence and return are recorded where the agent acts on them; a stop waits for messages due now; work nobody waits for is not in flight.

--- a/packages/testkit/include/bronzering/testkit/fleet.h
+++ b/packages/testkit/include/bronzering/testkit/fleet.h
@@ -123,6 +123,8 @@
   auto StartProcess(process& aProcess) -> void;
   /// Runs aEvent on the process, now or when its pause ends; dropped if it dies before.
   auto Deliver(process& aProcess, std::function<void(process&)> aEvent) -> void;
+  auto Handle(process& aProcess, const std::function<void(process&)>& aEvent) -> void;
+  auto WakeLater(process& aProcess) -> void;
   auto Flush(process& aProcess) -> void;
   auto StopOnceFlushed(process& aProcess) -> void;
   auto ScheduleTimer(process& aProcess) -> void;
@@ -134,7 +136,7 @@
   auto CloseSession(std::shared_ptr<session> aSession) -> void;
   auto SendMessage(process& aFrom, peer_id aPeer, peer_message aMessage) -> void;
   auto PlantFault(peer_message& aMessage) const -> void;
-  auto RecordTickets(const session& aSession, bool aReachable) -> void;
+  auto RecordTickets(const session& aSession, const process& aAgent, bool aReachable) -> void;
   auto RecordGrant(exchange_id aExchange, const std::string& aEndpoint) -> void;
   auto Transmit(const std::shared_ptr<session>& aSession, bool aForward, peer_message aMessage)
     -> void;
--- a/packages/testkit/src/fleet_process.h
+++ b/packages/testkit/src/fleet_process.h
@@ -16,6 +16,8 @@
   bool mLeaving = false;
   bool mWatching = false;
   time_point mPausedUntil;
+  /// What came while the process was paused, in order.
+  std::deque<std::function<void(process&)>> mUnread;
   std::optional<time_point> mTimerAt;
   std::map<peer_id, std::shared_ptr<session>> mPeers;
   /// Sessions this process opened, by the address.
--- a/packages/testkit/src/history_checker.cpp
+++ b/packages/testkit/src/history_checker.cpp
@@ -116,7 +116,10 @@
       Report(promise::NoWorkWhenLeaving,
              Name(aEvent.mExchange) + " started at " + aEvent.mEndpoint);
     }
-    mInFlight[aEvent.mEndpoint].insert(aEvent.mExchange);
+    // What starts after its caller or entry is gone has nobody to be cut off from.
+    if (!request.mClosed) {
+      mInFlight[aEvent.mEndpoint].insert(aEvent.mExchange);
+    }
   }
 
   auto On(const answer_received& aEvent) -> void
--- a/packages/testkit/tests/history_checker_test.cpp
+++ b/packages/testkit/tests/history_checker_test.cpp
@@ -151,6 +151,17 @@
   CHECK(run.Check() == std::vector{ promise::NoWorkWhenLeaving, promise::GracefulStop });
 }
 
+TEST_CASE("a stop cuts off nobody whose entry was gone before the work started",
+          "[history_checker]")
+{
+  auto run = history_builder{};
+  run.Add(request_sent{ MakeJob(1), "entry-0" })
+    .Add(answer_broken{ { 1 } })
+    .Add(execution_started{ { 1 }, { 1, 1 }, "engine" })
+    .Add(endpoint_stopped{ "engine" });
+  CHECK(run.Check() == kNone);
+}
+
 TEST_CASE("an older revision and one that never arrives are noticed", "[history_checker]")
 {
   auto backwards = history_builder{};
