Respect the connections that an endpoint accepts

Cause: max_conns of a service was read and nothing followed it. Change: an endpoint that has as many requests outstanding, of all entries, as it accepts connections is not chosen; the entries together keep half of that number idle at most. The line of a request's end also names the longest pause between two events, which told late first events from stalled streams. Before: the endpoint table's test fails (chosen with 3 of 3 connections in use); the tests of kept connections cover a parameter that did not exist. After: they pass.

--- a/packages/dispatch/include/bronzering/dispatch/routing_document.h
+++ b/packages/dispatch/include/bronzering/dispatch/routing_document.h
@@ -56,7 +56,7 @@
 struct service_spec
 {
   std::string mName;
-  /// Connections that an endpoint accepts from all callers together.
+  /// Connections that an endpoint accepts from all callers together; 0 for any number.
   std::uint32_t mMaxConnections = 0;
   /// Model services admit prompts into a batch; plain services only count requests.
   bool mIsModel = false;
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -113,12 +113,15 @@
     }
     const auto& listed = endpoint.mListed;
     const auto total = Total(endpoint);
-    if (aClaim == place_claim::Free && total.mRequests >= listed.mSlots) {
+    const auto isFull = total.mRequests >= listed.mSlots;
+    const auto hasConnection =
+      service->mMaxConnections == 0 || total.mRequests < service->mMaxConnections;
+    if (!hasConnection || (aClaim == place_claim::Free && isFull)) {
       continue;
     }
     const auto expected = Expected(endpoint, *service, total, aWork);
     if (!best || expected < best->mExpected) {
-      best = choice{ id, listed.mAddress, expected, total.mRequests >= listed.mSlots };
+      best = choice{ id, listed.mAddress, expected, isFull };
     }
   }
   return best;
--- a/packages/dispatch/tests/endpoint_table_test.cpp
+++ b/packages/dispatch/tests/endpoint_table_test.cpp
@@ -90,6 +90,29 @@
   CHECK(!table.Choose("model", { 100, 100 }, {}, place_claim::Free, kStart));
 }
 
+// An endpoint resets what it does not accept, and a request takes a connection.
+TEST_CASE("an endpoint gets no more requests than it accepts connections", "[endpoint_table]")
+{
+  auto table = endpoint_table("a");
+  table.Configure({ { "model", 3, true, 5 } });
+  table.Apply({ Listed("one") }, kStart);
+  table.SetPeerLoads("peer", { { KeyOfEndpoint("one"), 2, 200, 200 } });
+  CHECK(Chosen(table, kStart) == "one");
+  table.Begin({ 1 }, "one", { 100, 100 }, kStart);
+  CHECK(Chosen(table, kStart) == "none");
+  table.End({ 1 }, send_result::Answered, kStart + 1s);
+  CHECK(Chosen(table, kStart + 1s) == "one");
+}
+
+TEST_CASE("a service without a bound on connections has none", "[endpoint_table]")
+{
+  auto table = endpoint_table("a");
+  table.Configure({ { "model", 0, true, 5 } });
+  table.Apply({ Listed("one") }, kStart);
+  table.SetPeerLoads("peer", { { KeyOfEndpoint("one"), 500, 200, 200 } });
+  CHECK(Chosen(table, kStart) == "one");
+}
+
 TEST_CASE("a single failure does not exclude an endpoint, consecutive ones do", "[endpoint_table]")
 {
   auto table = Table();
--- a/packages/gateway/src/endpoint_connections.cpp
+++ b/packages/gateway/src/endpoint_connections.cpp
@@ -6,6 +6,7 @@
 #include <bronzering/base/boot_clock.h>
 
 #include <algorithm>
+#include <cassert>
 
 namespace bronzering {
 
@@ -17,6 +18,13 @@
 
 } // namespace
 
+auto KeptConnections(std::uint32_t aAccepted, std::size_t aEntries) -> std::size_t
+{
+  assert(aEntries > 0);
+  return aAccepted == 0 ? kMaxIdlePerEndpoint
+                        : std::min(kMaxIdlePerEndpoint, aAccepted / 2 / aEntries);
+}
+
 endpoint_connections::endpoint_connections(boost::asio::io_context& aContext)
   : mContext(aContext)
 {
@@ -55,10 +63,11 @@
 auto endpoint_connections::Give(const std::string& aEndpoint,
                                 boost::asio::ip::tcp::socket aSocket,
                                 duration aIdleLimit,
+                                std::size_t aMaxKept,
                                 time_point aNow) -> void
 {
   auto& idle = mIdle[aEndpoint];
-  if (aIdleLimit > kIdleMargin && idle.size() < kMaxIdlePerEndpoint) {
+  if (aIdleLimit > kIdleMargin && idle.size() < aMaxKept) {
     idle.push_back({ std::move(aSocket), aNow, aNow + aIdleLimit - kIdleMargin });
   }
 }
--- a/packages/gateway/src/endpoint_connections.h
+++ b/packages/gateway/src/endpoint_connections.h
@@ -29,10 +29,11 @@
             duration aTimeout)
     -> boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>>;
   /// Keeps a connection whose answer was read to its end. aIdleLimit is how long the endpoint keeps
-  /// it open.
+  /// it open, aMaxKept how many connections to it may be idle here.
   auto Give(const std::string& aEndpoint,
             boost::asio::ip::tcp::socket aSocket,
             duration aIdleLimit,
+            std::size_t aMaxKept,
             time_point aNow) -> void;
   /// Closes kept connections that are too old and those of endpoints that are not in aEndpoints.
   auto Prune(const std::vector<std::string>& aEndpoints, time_point aNow) -> void;
@@ -49,4 +50,9 @@
   std::map<std::string, std::vector<idle_connection>, std::less<>> mIdle;
 };
 
+/// Idle connections to an endpoint that one of aEntries may keep. Together they keep half of what
+/// the endpoint accepts at most, since idle ones would make it reset those that carry requests; 0
+/// accepted connections stand for no bound.
+[[nodiscard]] auto KeptConnections(std::uint32_t aAccepted, std::size_t aEntries) -> std::size_t;
+
 } // namespace bronzering
--- a/packages/gateway/src/engine_call.cpp
+++ b/packages/gateway/src/engine_call.cpp
@@ -44,10 +44,12 @@
 
 engine_call::engine_call(endpoint_connections& aConnections,
                          std::string aEndpoint,
-                         std::string aRequestId)
+                         std::string aRequestId,
+                         std::size_t aMaxKept)
   : mConnections(aConnections)
   , mEndpoint(std::move(aEndpoint))
   , mRequestId(std::move(aRequestId))
+  , mMaxKept(aMaxKept)
 {
 }
 
@@ -173,7 +175,8 @@
   mSilence.reset();
   // Bytes after a complete answer belong to no request.
   if (mParser->keep_alive() && mInput.size() == 0 && IsQuiet(*mSocket)) {
-    mConnections.Give(mEndpoint, std::move(*mSocket), IdleLimit(Fields()), ReadBootClock());
+    mConnections.Give(
+      mEndpoint, std::move(*mSocket), IdleLimit(Fields()), mMaxKept, ReadBootClock());
   } else {
     AbortSocket(*mSocket);
   }
--- a/packages/gateway/src/engine_call.h
+++ b/packages/gateway/src/engine_call.h
@@ -27,8 +27,12 @@
 class engine_call
 {
 public:
-  /// aRequestId is the header by which answers name their request.
-  engine_call(endpoint_connections& aConnections, std::string aEndpoint, std::string aRequestId);
+  /// aRequestId is the header by which answers name their request, aMaxKept how many idle
+  /// connections the endpoint may have afterwards.
+  engine_call(endpoint_connections& aConnections,
+              std::string aEndpoint,
+              std::string aRequestId,
+              std::size_t aMaxKept);
   ~engine_call();
   engine_call(const engine_call&) = delete;
   auto operator=(const engine_call&) -> engine_call& = delete;
@@ -62,6 +66,7 @@
   endpoint_connections& mConnections;
   std::string mEndpoint;
   std::string mRequestId;
+  std::size_t mMaxKept;
   std::optional<boost::asio::ip::tcp::socket> mSocket;
   std::optional<boost::asio::steady_timer> mSilence;
   boost::beast::flat_buffer mInput;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -218,7 +218,10 @@
 
   ++mSends;
   mLastEndpoint = aEndpoint.mId;
-  auto call = engine_call(mState.mConnections, aEndpoint.mId, mState.mDialect.mRequestId);
+  const auto* service = mState.mEndpoints.ServiceOf(mService);
+  const auto maxKept =
+    KeptConnections(service == nullptr ? 0 : service->mMaxConnections, mState.mPeers.MemberCount());
+  auto call = engine_call(mState.mConnections, aEndpoint.mId, mState.mDialect.mRequestId, maxKept);
   const auto maxIdle = mRoute->mExecution == execution_rule::Once ? kMaxIdleOnce : kMaxIdle;
   if (!co_await call.Open(aEndpoint.mAddress, maxIdle, kConnectTimeout)) {
     account.mResult = send_result::Unreachable;
@@ -308,6 +311,12 @@
       part.mBytes += mEvents.Rest();
     }
     mState.mEndpoints.OnEvents(mId, part.mEvents, now);
+    if (part.mEvents > 0) {
+      if (mLastEvent) {
+        mLongestPause = std::max<duration>(mLongestPause, now - *mLastEvent);
+      }
+      mLastEvent = now;
+    }
     if (part.mHasGap) {
       aResult = send_result::Failed;
       co_return send_outcome::MayHaveRun;
@@ -526,6 +535,9 @@
   if (mFirstEvent) {
     line["first_us"] = Micros(*mFirstEvent - mArrived);
   }
+  if (mLongestPause > duration::zero()) {
+    line["longest_pause_us"] = Micros(mLongestPause);
+  }
   mState.mLog.Write(aEnd == exchange_end::Answered ? log_class::Routine : log_class::Notable,
                     "request_ended",
                     std::move(line),
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -127,6 +127,9 @@
   std::string mLastEndpoint;
   std::optional<time_point> mFirstSent;
   std::optional<time_point> mFirstEvent;
+  std::optional<time_point> mLastEvent;
+  /// Longest time between two events of the answer.
+  duration mLongestPause{};
   bool mIsFinished = false;
 };
 
