Let a stalled log reader not hold up the end of the process

Cause: the log's thread pool is joined when the program ends, so a reader that no longer reads kept a stopped entry alive for good. Close can be called again, which the test uses instead of a wait. Before: the destructor joins a thread that is blocked in write (by reading).

--- a/packages/gateway/include/bronzering/gateway/event_log.h
+++ b/packages/gateway/include/bronzering/gateway/event_log.h
@@ -6,6 +6,7 @@
 
 #include <boost/json/object.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string_view>
@@ -43,6 +44,10 @@
              std::string_view aEvent,
              boost::json::object aFields,
              time_point aNow) -> void;
+  /// Ends the log once all queued lines are written; false if they are not after aPatience. The
+  /// output's reader has stalled then, and returning from main would wait for it. May be called
+  /// again; nothing may be written afterwards.
+  [[nodiscard]] auto Close(std::chrono::milliseconds aPatience) -> bool;
 
 private:
   struct state;
--- a/packages/gateway/src/event_log.cpp
+++ b/packages/gateway/src/event_log.cpp
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <chrono>
+#include <future>
+#include <thread>
 
 namespace bronzering {
 
@@ -30,6 +32,7 @@
   std::string mProcess;
   std::shared_ptr<spdlog::details::thread_pool> mPool;
   std::shared_ptr<spdlog::async_logger> mLogger;
+  std::future<void> mEnd;
   counter* mLeftOutTotal = nullptr;
   time_point mSecondBegan;
   std::array<class_bound, 2> mBounds = { class_bound{ kRoutineLines },
@@ -91,4 +94,19 @@
   mState->mLogger->info("{}", boost::json::serialize(line));
 }
 
+auto event_log::Close(std::chrono::milliseconds aPatience) -> bool
+{
+  // The pool's destructor writes what is queued, in a thread that may be left behind.
+  if (!mState->mEnd.valid()) {
+    auto ended = std::promise<void>();
+    mState->mEnd = ended.get_future();
+    mState->mLogger.reset();
+    std::thread([pool = std::move(mState->mPool), ended = std::move(ended)]() mutable {
+      pool.reset();
+      ended.set_value();
+    }).detach();
+  }
+  return mState->mEnd.wait_for(aPatience) == std::future_status::ready;
+}
+
 } // namespace bronzering
--- a/packages/gateway/tests/event_log_test.cpp
+++ b/packages/gateway/tests/event_log_test.cpp
@@ -93,6 +93,31 @@
   CHECK(CountOf(text, "\"event\":\"later\"") == 1);
 }
 
+TEST_CASE("a stalled reader does not hold up the end of the process", "[event_log]")
+{
+  auto metrics = metrics_registry();
+  auto output = stalled_output();
+  auto log = std::make_unique<event_log>("vm-1", metrics);
+  const auto padding = std::string(1000, 'x');
+  for (auto line = 0U; line < event_log::kNotableLines; ++line) {
+    log->Write(log_class::Notable, "refused", { { "padding", padding } }, kStart);
+  }
+  CHECK(!log->Close(10ms));
+  // Every line is still written if the reader comes back.
+  const auto text = output.Drain([&log] { CHECK(log->Close(1min)); });
+  CHECK(CountOf(text, "\"event\":\"refused\"") == event_log::kNotableLines);
+}
+
+TEST_CASE("a log whose reader reads ends with its last line", "[event_log]")
+{
+  auto metrics = metrics_registry();
+  auto output = stalled_output();
+  auto log = std::make_unique<event_log>("vm-1", metrics);
+  log->Write(log_class::Notable, "stopped", {}, kStart);
+  const auto text = output.Drain([&log] { CHECK(log->Close(1min)); });
+  CHECK(CountOf(text, "\"event\":\"stopped\"") == 1);
+}
+
 TEST_CASE("routine lines do not use up the bound of notable ones", "[event_log]")
 {
   auto metrics = metrics_registry();
