Test that each end of a request writes exactly one final line

Played on the gateway over loopback with the log captured: answered, unknown route and key, over the limit, no endpoint with room, caller gone, endpoint closed and cut, route's time over, and no key, query, header or body in any line.

--- /dev/null
+++ b/packages/gateway/tests/captured_output.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <catch2/catch.hpp>
+
+#include <unistd.h>
+
+#include <array>
+#include <cstdio>
+#include <string>
+#include <thread>
+
+namespace bronzering {
+
+/// Standard output as a pipe that nobody reads until Drain.
+class captured_output
+{
+public:
+  captured_output()
+  {
+    std::fflush(stdout);
+    mSaved = ::dup(STDOUT_FILENO);
+    REQUIRE(::pipe(mPipe.data()) == 0);
+    ::dup2(mPipe[1], STDOUT_FILENO);
+    ::close(mPipe[1]);
+  }
+  ~captured_output() { ::close(mSaved); }
+  captured_output(const captured_output&) = delete;
+  auto operator=(const captured_output&) -> captured_output& = delete;
+
+  /// Reads everything that is written until aFinish has returned, and restores the output.
+  template<class Finish>
+  auto Drain(Finish aFinish) -> std::string
+  {
+    auto text = std::string();
+    auto reader = std::thread([this, &text] {
+      auto part = std::array<char, 4096>();
+      for (auto count = ::read(mPipe[0], part.data(), part.size()); count > 0;
+           count = ::read(mPipe[0], part.data(), part.size())) {
+        text.append(part.data(), static_cast<std::size_t>(count));
+      }
+    });
+    aFinish();
+    std::fflush(stdout);
+    ::dup2(mSaved, STDOUT_FILENO);
+    reader.join();
+    ::close(mPipe[0]);
+    return text;
+  }
+
+private:
+  int mSaved = -1;
+  std::array<int, 2> mPipe = {};
+};
+
+} // namespace bronzering
--- a/packages/gateway/tests/event_log_test.cpp
+++ b/packages/gateway/tests/event_log_test.cpp
@@ -1,13 +1,10 @@
+#include "captured_output.h"
+
 #include <bronzering/gateway/event_log.h>
 
 #include <catch2/catch.hpp>
 
-#include <unistd.h>
-
-#include <array>
-#include <cstdio>
 #include <string>
-#include <thread>
 
 using namespace bronzering;
 using namespace std::chrono_literals;
@@ -16,47 +13,6 @@
 
 const auto kStart = time_point(1h);
 
-/// Standard output as a pipe that nobody reads until Drain.
-class stalled_output
-{
-public:
-  stalled_output()
-  {
-    std::fflush(stdout);
-    mSaved = ::dup(STDOUT_FILENO);
-    REQUIRE(::pipe(mPipe.data()) == 0);
-    ::dup2(mPipe[1], STDOUT_FILENO);
-    ::close(mPipe[1]);
-  }
-  ~stalled_output() { ::close(mSaved); }
-  stalled_output(const stalled_output&) = delete;
-  auto operator=(const stalled_output&) -> stalled_output& = delete;
-
-  /// Reads everything that is written until aFinish has returned, and restores the output.
-  template<class Finish>
-  auto Drain(Finish aFinish) -> std::string
-  {
-    auto text = std::string();
-    auto reader = std::thread([this, &text] {
-      auto part = std::array<char, 4096>();
-      for (auto count = ::read(mPipe[0], part.data(), part.size()); count > 0;
-           count = ::read(mPipe[0], part.data(), part.size())) {
-        text.append(part.data(), static_cast<std::size_t>(count));
-      }
-    });
-    aFinish();
-    std::fflush(stdout);
-    ::dup2(mSaved, STDOUT_FILENO);
-    reader.join();
-    ::close(mPipe[0]);
-    return text;
-  }
-
-private:
-  int mSaved = -1;
-  std::array<int, 2> mPipe = {};
-};
-
 auto CountOf(const std::string& aText, const std::string& aPart) -> std::size_t
 {
   auto count = std::size_t{ 0 };
@@ -72,7 +28,7 @@
           "[event_log]")
 {
   auto metrics = metrics_registry();
-  auto output = stalled_output();
+  auto output = captured_output();
   auto log = std::make_unique<event_log>("vm-1", metrics);
 
   // Ten times the bound, and more bytes than a pipe holds.
@@ -96,7 +52,7 @@
 TEST_CASE("a stalled reader does not hold up the end of the process", "[event_log]")
 {
   auto metrics = metrics_registry();
-  auto output = stalled_output();
+  auto output = captured_output();
   auto log = std::make_unique<event_log>("vm-1", metrics);
   const auto padding = std::string(1000, 'x');
   for (auto line = 0U; line < event_log::kNotableLines; ++line) {
@@ -111,7 +67,7 @@
 TEST_CASE("a log whose reader reads ends with its last line", "[event_log]")
 {
   auto metrics = metrics_registry();
-  auto output = stalled_output();
+  auto output = captured_output();
   auto log = std::make_unique<event_log>("vm-1", metrics);
   log->Write(log_class::Notable, "stopped", {}, kStart);
   const auto text = output.Drain([&log] { CHECK(log->Close(1min)); });
@@ -121,7 +77,7 @@
 TEST_CASE("routine lines do not use up the bound of notable ones", "[event_log]")
 {
   auto metrics = metrics_registry();
-  auto output = stalled_output();
+  auto output = captured_output();
   auto log = std::make_unique<event_log>("vm-1", metrics);
   for (auto line = 0U; line < 2 * event_log::kRoutineLines; ++line) {
     log->Write(log_class::Routine, "dispatched", {}, kStart);
--- /dev/null
+++ b/packages/gateway/tests/request_log_test.cpp
@@ -0,0 +1,204 @@
+#include "captured_output.h"
+#include "gateway_harness.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <sstream>
+
+using namespace bronzering;
+using namespace std::chrono_literals;
+using ending = scripted_endpoint::ending;
+using reaction = scripted_endpoint::reaction;
+using boost::asio::awaitable;
+
+namespace {
+
+/// What a request's last line says.
+struct request_end
+{
+  std::string mOutcome;
+  std::int64_t mStatus = 0;
+  std::string mReason;
+
+  auto operator==(const request_end&) const -> bool = default;
+};
+
+auto operator<<(std::ostream& aOut, const request_end& aEnd) -> std::ostream&
+{
+  return aOut << aEnd.mOutcome << ' ' << aEnd.mStatus << ' ' << aEnd.mReason;
+}
+
+/// The last lines in aLog by request.
+auto EndsIn(const std::string& aLog) -> std::map<std::string, std::vector<request_end>>
+{
+  auto ends = std::map<std::string, std::vector<request_end>>();
+  auto lines = std::istringstream(aLog);
+  for (auto text = std::string(); std::getline(lines, text);) {
+    const auto line = boost::json::parse(text).as_object();
+    if (line.at("event") == "request_ended") {
+      const auto* reason = line.if_contains("reason");
+      ends[std::string(line.at("request").as_string())].push_back(
+        { std::string(line.at("outcome").as_string()),
+          line.at("status").as_int64(),
+          reason == nullptr ? "" : std::string(reason->as_string()) });
+    }
+  }
+  return ends;
+}
+
+/// Plays a test with the endpoint's script and returns what was logged until the gateway ended.
+auto LogOf(const routing_document& aDocument,
+           scripted_endpoint::script aScript,
+           const std::function<awaitable<void>(gateway_fixture&, scripted_endpoint&)>& aTest)
+  -> std::string
+{
+  auto output = captured_output();
+  auto fixture = std::make_unique<gateway_fixture>();
+  auto endpoint = std::make_unique<scripted_endpoint>(fixture->Context(), "e1", std::move(aScript));
+  fixture->Publish(aDocument, { endpoint->Listed() });
+  fixture->Run([&]() -> awaitable<void> { co_await aTest(*fixture, *endpoint); });
+  return output.Drain([&] { fixture.reset(); });
+}
+
+/// Sends one request for each path, with the path's position as its id, and waits for the answer.
+auto AskAll(gateway_fixture& aFixture, std::vector<std::string> aPaths, std::string aHeaders)
+  -> awaitable<void>
+{
+  for (auto index = std::size_t{ 0 }; index < aPaths.size(); ++index) {
+    auto text = RequestText(aPaths[index], aHeaders, std::to_string(index));
+    co_await aFixture.Ask(std::move(text));
+  }
+}
+
+auto Whole(const http_request& aRequest) -> reaction
+{
+  return { SealedAnswer(aRequest, "whole"), ending::Keep };
+}
+
+using ends_by_request = std::map<std::string, std::vector<request_end>>;
+
+} // namespace
+
+TEST_CASE("an answered request and rejected ones end with one line each", "[request_log]")
+{
+  const auto log = LogOf(
+    TestDocument(), Whole, [](gateway_fixture& aFixture, scripted_endpoint&) -> awaitable<void> {
+      auto paths = std::vector<std::string>{ "/once/x", "/nowhere/x" };
+      co_await AskAll(aFixture, std::move(paths), "");
+      auto stranger = std::string("GET /once/x HTTP/1.1\r\nHost: shop.example\r\n"
+                                  "Request-Id: stranger\r\nAuthorization: Bearer other\r\n\r\n");
+      co_await aFixture.Ask(std::move(stranger));
+    });
+  CHECK(EndsIn(log) == ends_by_request{ { "0", { { "answered", 200, "" } } },
+                                        { "1", { { "rejected", 404, "no route" } } },
+                                        { "stranger", { { "rejected", 401, "unknown key" } } } });
+}
+
+TEST_CASE("a request over its organisation's limit ends with one line", "[request_log]")
+{
+  auto document = TestDocument();
+  document.mOrganisations[0].mRate = 1;
+  document.mOrganisations[0].mBurst = 1;
+  document.mOrganisations[0].mCountsTokens = true;
+  const auto log =
+    LogOf(document, Whole, [](gateway_fixture& aFixture, scripted_endpoint&) -> awaitable<void> {
+      auto paths = std::vector<std::string>{ "/once/x", "/once/x" };
+      co_await AskAll(aFixture, std::move(paths), "Tokens: 900,100\r\n");
+    });
+  CHECK(EndsIn(log) ==
+        ends_by_request{ { "0", { { "answered", 200, "" } } },
+                         { "1", { { "refused", 429, "limit of the organisation" } } } });
+}
+
+TEST_CASE("a request that no endpoint can take ends with one line", "[request_log]")
+{
+  auto document = TestDocument();
+  document.mServices[0].mMaxConnections = 1;
+  const auto hang = [](const http_request& aRequest) -> reaction {
+    return aRequest.target() == "/once/first" ? reaction{ "", ending::Hang } : Whole(aRequest);
+  };
+  const auto log = LogOf(
+    document, hang, [](gateway_fixture& aFixture, scripted_endpoint& aEndpoint) -> awaitable<void> {
+      auto first = test_caller(aFixture.Context());
+      co_await first.Connect(aFixture.CallerPort());
+      auto text = RequestText("/once/first", "", "first");
+      co_await first.Send(std::move(text));
+      auto timer = boost::asio::steady_timer(aFixture.Context());
+      while (aEndpoint.Requests().empty()) {
+        timer.expires_after(5ms);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+      }
+      auto paths = std::vector<std::string>{ "/once/x" };
+      co_await AskAll(aFixture, std::move(paths), "");
+      // The caller leaves; its end is logged once the endpoint's connection is closed.
+      first.Close();
+      while (aEndpoint.Departures() == 0) {
+        timer.expires_after(5ms);
+        co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+      }
+    });
+  const auto ends = EndsIn(log);
+  REQUIRE(ends.contains("0"));
+  CHECK(ends.at("0") ==
+        std::vector<request_end>{ { "refused", 503, "no endpoint can answer in time" } });
+  REQUIRE(ends.contains("first"));
+  REQUIRE(ends.at("first").size() == 1);
+  CHECK(ends.at("first")[0].mOutcome == "caller_gone");
+}
+
+TEST_CASE("a broken endpoint ends a request that may have run with one line", "[request_log]")
+{
+  const auto broken = [](const http_request& aRequest) -> reaction {
+    return aRequest.target() == "/once/silent"
+             ? reaction{ "", ending::Close }
+             : reaction{ SealedAnswer(aRequest, "whole").substr(0, 60), ending::Reset };
+  };
+  const auto log = LogOf(
+    TestDocument(), broken, [](gateway_fixture& aFixture, scripted_endpoint&) -> awaitable<void> {
+      auto paths = std::vector<std::string>{ "/once/silent", "/once/cut" };
+      co_await AskAll(aFixture, std::move(paths), "");
+    });
+  const auto ends = EndsIn(log);
+  for (const auto* id : { "0", "1" }) {
+    REQUIRE(ends.contains(id));
+    REQUIRE(ends.at(id).size() == 1);
+    CHECK(ends.at(id)[0].mOutcome == "failed");
+    CHECK(ends.at(id)[0].mStatus == 502);
+  }
+}
+
+TEST_CASE("a request that outlasts its route's time ends with one line", "[request_log]")
+{
+  auto document = TestDocument();
+  document.mRoutes[0].mTimeout = 200ms;
+  const auto hang = [](const http_request&) -> reaction { return { "", ending::Hang }; };
+  const auto log =
+    LogOf(document, hang, [](gateway_fixture& aFixture, scripted_endpoint&) -> awaitable<void> {
+      auto paths = std::vector<std::string>{ "/once/x" };
+      co_await AskAll(aFixture, std::move(paths), "");
+    });
+  const auto ends = EndsIn(log);
+  REQUIRE(ends.contains("0"));
+  REQUIRE(ends.at("0").size() == 1);
+  CHECK(ends.at("0")[0].mOutcome == "timed_out");
+  CHECK(ends.at("0")[0].mStatus == 504);
+}
+
+TEST_CASE("no line holds a key or the content of a request", "[request_log]")
+{
+  const auto log = LogOf(
+    TestDocument(), Whole, [](gateway_fixture& aFixture, scripted_endpoint&) -> awaitable<void> {
+      auto paths = std::vector<std::string>{ "/once/x?card=4111" };
+      co_await AskAll(aFixture, std::move(paths), "Cookie: session=private\r\n");
+    });
+  CHECK(log.find("request_ended") != std::string::npos);
+  for (const auto* part : { "secret", "4111", "private", "whole" }) {
+    CHECK(log.find(part) == std::string::npos);
+  }
+}
