Apply removals at once when a peer has followed the source all along

An entry was cut off until 24.5 s and heard its source again at 24.99 s. A worker took its entry out of the store at 24.82 s. The entry held the removal back for 2.5 s, in case the item had only lapsed with the outage, and sent it a request at 27.52 s, in touch since 27.5 s. The three entries that were never cut had dropped the worker at 24.83 s. Change: digests tell whether the sender has followed its source without a break for longer than lapsed items need to come back. While a live peer does and holds the same revision or a later one, removals are not held back. The tests of items, peers and codec fail to build without it.

--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -26,6 +26,8 @@
   bool mIsLeaving = false;
   /// Revision of the published items that the sender holds.
   std::uint64_t mRevision = 0;
+  /// The sender has followed the items' source without a break for a while.
+  bool mIsSettled = false;
   std::vector<endpoint_load> mLoads;
   /// Organisations whose total has changed; all of them in a full digest.
   std::vector<organisation_spending> mSpending;
@@ -68,6 +70,8 @@
   [[nodiscard]] auto MemberCount() const -> std::size_t;
   /// The live peer with the highest revision above aRevision; empty when there is none.
   [[nodiscard]] auto AheadOf(std::uint64_t aRevision) const -> std::optional<std::string>;
+  /// Whether a live peer with a settled source holds the items of aRevision or later ones.
+  [[nodiscard]] auto VouchesFor(std::uint64_t aRevision) const -> bool;
 
 private:
   struct peer_state
@@ -75,6 +79,7 @@
     std::uint64_t mIncarnation = 0;
     std::uint64_t mSequence = 0;
     std::uint64_t mRevision = 0;
+    bool mIsSettled = false;
     bool mIsLive = false;
     bool mIsLeaving = false;
     time_point mHeard;
--- a/packages/dispatch/include/bronzering/dispatch/published_items.h
+++ b/packages/dispatch/include/bronzering/dispatch/published_items.h
@@ -38,13 +38,13 @@
 /// This entry's copy of what the platform publishes, fed by the platform's source and, while that
 /// cannot be reached, by peers. It never goes back: a snapshot or change that is older than the
 /// copy is ignored. Items that lapse by themselves may vanish while the source is away although
-/// their owner lives, so a removal counts only once the source has been back for a while. Not
-/// thread-safe: owned by the control thread.
+/// their owner lives, so a removal counts only once the source has been back for a while, unless a
+/// peer vouches that the source was never away. Not thread-safe: owned by the control thread.
 class published_items
 {
 public:
   /// Time after the source's return within which lapsed items come back.
-  static constexpr auto kReturnGrace = std::chrono::milliseconds(2'500);
+  static constexpr auto kReturnGrace = std::chrono::milliseconds(2'200);
 
   /// All items as of a revision, read from the source or received from a peer. False when it was
   /// ignored for its age.
@@ -59,6 +59,15 @@
   auto SetSourceReachable(bool aIsReachable, time_point aNow) -> void;
   [[nodiscard]] auto IsSourceReachable() const -> bool { return mIsReachable; }
 
+  /// Whether the source has been reachable without a break for longer than lapsed items need to
+  /// come back.
+  [[nodiscard]] auto IsSettled(time_point aNow) const -> bool
+  {
+    return mIsReachable && aNow - mChangedAt >= kReturnGrace;
+  }
+  /// A peer whose source is settled holds these items or later ones, or none does any more.
+  auto SetVouched(bool aIsVouched) -> void { mIsVouched = aIsVouched; }
+
   /// Drops lapsed items whose time to come back is over. True when any was dropped.
   auto DropLapsed(time_point aNow) -> bool;
 
@@ -83,6 +92,7 @@
   bool mIsReachable = false;
   /// Whether the source was lost after it had been reached.
   bool mWasLost = false;
+  bool mIsVouched = false;
   time_point mChangedAt;
 };
 
--- a/packages/dispatch/src/peer_table.cpp
+++ b/packages/dispatch/src/peer_table.cpp
@@ -33,9 +33,13 @@
   if (!peer.mIsLive) {
     mChanges.push_back({ aDigest.mSender, true });
   }
-  peer = peer_state{ aDigest.mIncarnation, aDigest.mSequence,
-                     aDigest.mRevision,    true,
-                     aDigest.mIsLeaving,   aNow };
+  peer = peer_state{ aDigest.mIncarnation,
+                     aDigest.mSequence,
+                     aDigest.mRevision,
+                     aDigest.mIsSettled,
+                     true,
+                     aDigest.mIsLeaving,
+                     aNow };
   mCandidates.erase(aDigest.mSender);
   for (const auto& address : aDigest.mPeers) {
     if (address != mSelf && !mPeers.contains(address)) {
@@ -105,6 +109,14 @@
   return 1 + mPeers.size();
 }
 
+auto peer_table::VouchesFor(std::uint64_t aRevision) const -> bool
+{
+  return std::any_of(mPeers.begin(), mPeers.end(), [aRevision](const auto& aEntry) {
+    const auto& peer = aEntry.second;
+    return peer.mIsLive && peer.mIsSettled && peer.mRevision >= aRevision;
+  });
+}
+
 auto peer_table::AheadOf(std::uint64_t aRevision) const -> std::optional<std::string>
 {
   auto best = std::optional<std::string>();
--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -99,7 +99,7 @@
 
 auto published_items::DefersRemovals(time_point aNow) const -> bool
 {
-  return !mIsReachable || (mWasLost && aNow - mChangedAt < kReturnGrace);
+  return !mIsReachable || (mWasLost && !mIsVouched && aNow - mChangedAt < kReturnGrace);
 }
 
 auto published_items::Remove(const std::string& aKey, bool aIsDeferred) -> void
--- a/packages/dispatch/tests/peer_table_test.cpp
+++ b/packages/dispatch/tests/peer_table_test.cpp
@@ -82,6 +82,23 @@
   CHECK(table.MemberCount() == 1);
 }
 
+TEST_CASE("a live peer whose source is settled vouches for the items that it holds", "[peer_table]")
+{
+  auto table = peer_table("10.0.0.1");
+  auto digest = Digest("10.0.0.2", 1, 1);
+  digest.mRevision = 20;
+  REQUIRE(table.OnDigest(digest, kStart));
+  CHECK(!table.VouchesFor(20));
+  digest.mSequence = 2;
+  digest.mIsSettled = true;
+  REQUIRE(table.OnDigest(digest, kStart));
+  CHECK(table.VouchesFor(20));
+  CHECK(table.VouchesFor(19));
+  CHECK(!table.VouchesFor(21));
+  static_cast<void>(table.TakeChanges(kStart + 1s));
+  CHECK(!table.VouchesFor(20));
+}
+
 TEST_CASE("the live peer with the newest items is named", "[peer_table]")
 {
   auto table = peer_table("10.0.0.1");
--- a/packages/dispatch/tests/published_items_test.cpp
+++ b/packages/dispatch/tests/published_items_test.cpp
@@ -65,6 +65,48 @@
   }
 }
 
+// An entry that was cut off for a while alone must not send to endpoints that left meanwhile.
+TEST_CASE("a removal counts at once if a peer has followed the source all along",
+          "[published_items]")
+{
+  auto items = Items();
+  items.SetSourceReachable(false, kStart);
+  items.SetSourceReachable(true, kStart + 5s);
+  items.ApplyRemoval("endpoint", 20, kStart + 5s);
+
+  SECTION("for removals that waited")
+  {
+    items.SetVouched(true);
+    CHECK(items.DropLapsed(kStart + 5s));
+    CHECK(items.Find("endpoint") == nullptr);
+  }
+  SECTION("for later ones")
+  {
+    items.SetVouched(true);
+    items.ApplyRemoval("document", 21, kStart + 5s);
+    CHECK(items.Find("document") == nullptr);
+  }
+  SECTION("but not while the own source is away")
+  {
+    items.SetSourceReachable(false, kStart + 6s);
+    items.SetVouched(true);
+    CHECK(!items.DropLapsed(kStart + 6s));
+  }
+}
+
+TEST_CASE("a source is settled once it has been there for a while", "[published_items]")
+{
+  auto items = published_items();
+  CHECK(!items.IsSettled(kStart));
+  items.SetSourceReachable(true, kStart);
+  CHECK(!items.IsSettled(kStart + 1s));
+  CHECK(items.IsSettled(kStart + published_items::kReturnGrace));
+  items.SetSourceReachable(false, kStart + 10s);
+  CHECK(!items.IsSettled(kStart + 20s));
+  items.SetSourceReachable(true, kStart + 20s);
+  CHECK(!items.IsSettled(kStart + 21s));
+}
+
 TEST_CASE("without an outage a removal counts at once", "[published_items]")
 {
   auto items = Items();
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -140,6 +140,7 @@
     timer.expires_after(kHousekeepingInterval);
     co_await timer.async_wait(kUseTuple);
     const auto now = ReadBootClock();
+    mShared.mItems.SetVouched(mShared.mPeers.VouchesFor(mShared.mItems.Revision()));
     if (mShared.mItems.DropLapsed(now)) {
       AdoptEndpoints();
     }
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -111,6 +111,7 @@
   digest.mSequence = ++mSequence;
   digest.mIsLeaving = mState.mIsStopping;
   digest.mRevision = mState.mRoutes ? mState.mItems.Revision() : 0;
+  digest.mIsSettled = mState.mItems.IsSettled(ReadBootClock());
   digest.mLoads = mState.mEndpoints.OwnLoads();
   digest.mSpending = mState.mQuotas.Totals();
   // What changes slowly, and totals whose last report may have been lost, go into full digests.
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -83,7 +83,8 @@
                                           orNull(loads),
                                           orNull(spending),
                                           orNull(peers),
-                                          orNull(speeds)));
+                                          orNull(speeds),
+                                          aDigest.mIsSettled));
   return Finished(builder);
 }
 
@@ -99,6 +100,7 @@
   digest.mSequence = message->sequence();
   digest.mIsLeaving = message->is_leaving();
   digest.mRevision = message->revision();
+  digest.mIsSettled = message->is_settled();
   if (message->loads() != nullptr) {
     for (const auto* load : *message->loads()) {
       digest.mLoads.push_back(
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -13,6 +13,7 @@
   digest.mSequence = 5;
   digest.mIsLeaving = true;
   digest.mRevision = 900;
+  digest.mIsSettled = true;
   digest.mLoads = { { 42, 3, 5000, 700 } };
   digest.mSpeeds = { { 44, 4ms, 15.5 } };
   digest.mSpending = { { 43, 1234.5 } };
@@ -24,6 +25,7 @@
   CHECK(decoded->mSequence == 5);
   CHECK(decoded->mIsLeaving);
   CHECK(decoded->mRevision == 900);
+  CHECK(decoded->mIsSettled);
   REQUIRE(decoded->mLoads.size() == 1);
   CHECK(decoded->mLoads[0].mKey == 42);
   CHECK(decoded->mLoads[0].mRequests == 3);
