Log the older daemons' decisions as JSON lines, with explain

Change: the event log and the query over logs move from the gateway to a package of their own; both daemons write their life and every decision of their node through it, and have `explain REQUEST FILE...`.

--- a/packages/agent/src/agent_daemon.cpp
+++ b/packages/agent/src/agent_daemon.cpp
@@ -5,6 +5,7 @@
 #include <bronzering/base/overloaded.h>
 #include <bronzering/coordination/agent_node.h>
 #include <bronzering/daemon/control_loop.h>
+#include <bronzering/daemon/node_log.h>
 #include <bronzering/daemon/process_start.h>
 #include <bronzering/net/engine_client.h>
 #include <bronzering/net/operator_server.h>
@@ -14,9 +15,9 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <glog/logging.h>
 
 #include <cstdlib>
+#include <iostream>
 #include <memory>
 #include <set>
 #include <string>
@@ -80,6 +81,7 @@
   explicit agent_daemon(const agent_process_settings& aSettings)
     : mEngineAddress(aSettings.mEngineAddress)
     , mNodeSettings(NodeSettings(aSettings))
+    , mLog(mNodeSettings.mIdentity.mVm, mMetrics)
     , mLoop(aSettings.mProcess.mTrafficThreads)
     , mNode(mNodeSettings, mMetrics)
     , mPeers(mLoop.Control(),
@@ -105,23 +107,24 @@
     BOOST_LEAF_CHECK(mPeers.Start());
     BOOST_LEAF_CHECK(mOperators.Start());
     mPlatform.Start();
-    LOG(INFO) << "agent: started vm=" << mNodeSettings.mIdentity.mVm
-              << " zone=" << mNodeSettings.mIdentity.mAvailabilityZone
-              << " endpoint=" << mNodeSettings.mIdentity.mEndpoint << " peer_port=" << mPeers.Port()
-              << " operator_port=" << mOperators.Port();
+    mLog.Write("started",
+               { { "role", "agent" },
+                 { "availability_zone", mNodeSettings.mIdentity.mAvailabilityZone },
+                 { "endpoint", mNodeSettings.mIdentity.mEndpoint },
+                 { "peer_port", mPeers.Port() },
+                 { "operator_port", mOperators.Port() } });
     Handle([](agent_node& aNode, instant aNow) { aNode.OnTimer(aNow); });
     mLoop.Run({ [this] { Handle([](agent_node& aNode, instant aNow) { aNode.OnTimer(aNow); }); },
                 [this] { Drain(); },
                 [this] {
-                  LOG(WARNING) << "agent: second signal, ending at once cut_off="
-                               << mInFlight.size();
+                  mLog.End("stopped_at_once", { { "cut_off", mInFlight.size() } });
                 } });
     mOperators.Stop();
     mPlatform.Stop();
     if (mEngine != nullptr) {
       mEngine->Stop();
     }
-    LOG(INFO) << "agent: ended";
+    mLog.End("stopped", {});
     return EXIT_SUCCESS;
   }
 
@@ -136,9 +139,10 @@
         Perform(std::move(action));
       }
     }
+    mLog.WriteDecisions(mNode.TakeDecisions());
     if (auto config = mNode.Configuration(); config != mConfig) {
       mConfig = std::move(config);
-      LOG(INFO) << "config: in force revision=" << mConfig->mRevision.mValue;
+      mLog.Write("configuration_adopted", { { "revision", mConfig->mRevision.mValue } });
       StartEngineClient();
     }
     mLoop.ArmTimer(mNode.NextTimer());
@@ -160,7 +164,7 @@
 
   auto Drain() -> void
   {
-    LOG(INFO) << "agent: draining in_flight=" << mInFlight.size();
+    mLog.Write("stopping", { { "open", mInFlight.size() } });
     mIsDraining = true;
     Handle([](agent_node& aNode, instant aNow) { aNode.BeginDrain(aNow); });
   }
@@ -187,7 +191,9 @@
         return true;
       },
       [] { return false; });
-    LOG_IF(ERROR, !isStarted) << "agent: engine client did not start address=" << mEngineAddress;
+    if (!isStarted) {
+      mLog.Write("engine_client_failed", { { "address", mEngineAddress } });
+    }
   }
 
   auto ApplyToEngine(engine_action aAction) -> void
@@ -204,15 +210,11 @@
 
   auto OnEngineEvent(engine_event aEvent) -> void
   {
-    std::visit(overloaded{ [this](const engine_end& aEnd) { mInFlight.erase(aEnd.mRequest); },
-                           [this](const engine_failure& aFailure) {
-                             mInFlight.erase(aFailure.mRequest);
-                             LOG(WARNING)
-                               << "agent: call broke request=" << ToString(aFailure.mRequest)
-                               << " started=" << aFailure.mStarted << " reason=" << aFailure.mWhat;
-                           },
-                           [](const auto&) {} },
-               aEvent);
+    std::visit(
+      overloaded{ [this](const engine_end& aEnd) { mInFlight.erase(aEnd.mRequest); },
+                  [this](const engine_failure& aFailure) { mInFlight.erase(aFailure.mRequest); },
+                  [](const auto&) {} },
+      aEvent);
     Handle([&](agent_node& aNode, instant aNow) { aNode.OnEngineEvent(std::move(aEvent), aNow); });
   }
 
@@ -248,6 +250,7 @@
   std::string mEngineAddress;
   metrics_registry mMetrics;
   agent_settings mNodeSettings;
+  node_log mLog;
   control_loop mLoop;
   agent_node mNode;
   peer_network mPeers;
@@ -263,7 +266,7 @@
 
 auto Fail(const std::string& aWhat) -> int
 {
-  LOG(ERROR) << "agent: cannot start: " << aWhat;
+  std::cerr << "agent: cannot start: " << aWhat << '\n';
   return EXIT_FAILURE;
 }
 
--- a/packages/base/include/bronzering/base/ids.h
+++ b/packages/base/include/bronzering/base/ids.h
@@ -62,6 +62,11 @@
   return { aId.mSequence >> kAttemptBits };
 }
 
+[[nodiscard]] constexpr auto AttemptOf(request_id aId) -> std::uint64_t
+{
+  return aId.mSequence & ((std::uint64_t{ 1 } << kAttemptBits) - 1);
+}
+
 /// Writes the id as 32 hexadecimal digits.
 [[nodiscard]] auto ToString(request_id aId) -> std::string;
 
--- a/packages/coordination/include/bronzering/coordination/agent_node.h
+++ b/packages/coordination/include/bronzering/coordination/agent_node.h
@@ -175,6 +175,9 @@
   [[nodiscard]] auto NextTimer() const -> std::optional<time_point>;
 
   [[nodiscard]] auto TakeActions() -> std::vector<agent_action>;
+  /// Decisions since the last call for the daemon's log, the oldest first: objects with the name of
+  /// the decision in "what". At most 256; older ones are left out.
+  [[nodiscard]] auto TakeDecisions() -> std::vector<boost::json::object>;
   [[nodiscard]] auto Dump(instant aNow) const -> boost::json::value;
   [[nodiscard]] auto Configuration() const -> std::shared_ptr<const fleet_config>;
 
--- a/packages/coordination/include/bronzering/coordination/entry_node.h
+++ b/packages/coordination/include/bronzering/coordination/entry_node.h
@@ -217,6 +217,9 @@
   /// Hands over the actions since the last call.
   [[nodiscard]] auto TakeActions() -> std::vector<entry_action>;
   /// State for operators; holds neither bearer tokens nor request contents.
+  /// Decisions since the last call for the daemon's log, the oldest first: objects with the name of
+  /// the decision in "what". At most 256; older ones are left out.
+  [[nodiscard]] auto TakeDecisions() -> std::vector<boost::json::object>;
   [[nodiscard]] auto Dump(instant aNow) const -> boost::json::value;
   /// The configuration in force; null before the first one.
   [[nodiscard]] auto Configuration() const -> std::shared_ptr<const fleet_config>;
--- a/packages/coordination/src/agent_dump.cpp
+++ b/packages/coordination/src/agent_dump.cpp
@@ -9,7 +9,6 @@
 namespace json = boost::json;
 
 constexpr auto kOrganisationsShown = std::size_t{ 50 };
-constexpr auto kDecisionsShown = agent_decisions::kCapacity;
 
 auto Milliseconds(duration aDuration) -> double
 {
@@ -35,20 +34,14 @@
   return tiers;
 }
 
-auto DecisionsOf(const agent_decisions& aDecisions, bool aDeclinesOnly) -> json::array
+/// The declines among the decisions.
+auto DeclinesOf(const json::array& aDecisions) -> json::array
 {
-  auto entries = json::array{};
-  for (auto index = std::size_t{ 0 }; index < aDecisions.size(); ++index) {
-    const auto& entry = aDecisions.Newest(index);
-    if (entries.size() >= kDecisionsShown || (aDeclinesOnly && entry.mWhat != "decline")) {
-      continue;
-    }
-    entries.push_back({ { "time_us", entry.mTime.time_since_epoch().count() },
-                        { "request", ToString(entry.mRequest) },
-                        { "what", entry.mWhat },
-                        { "detail", entry.mDetail } });
-  }
-  return entries;
+  auto declines = json::array{};
+  std::ranges::copy_if(aDecisions, std::back_inserter(declines), [](const json::value& aDecision) {
+    return aDecision.at("what").as_string() == "decline";
+  });
+  return declines;
 }
 
 } // namespace
@@ -97,8 +90,8 @@
     { "fencing_token", mFencing.Last() },
     { "model", { { "phase", mReconciler.Phase() }, { "holds_work", mReconciler.HoldsWork() } } },
     { "entries", std::move(peers) },
-    { "declines", DecisionsOf(mDecisions, true) },
-    { "decisions", DecisionsOf(mDecisions, false) },
+    { "declines", DeclinesOf(mDecisions.Dump()) },
+    { "decisions", mDecisions.Dump() },
   };
 }
 
--- a/packages/coordination/src/agent_node.cpp
+++ b/packages/coordination/src/agent_node.cpp
@@ -352,6 +352,11 @@
   return std::exchange(mState->mActions, {});
 }
 
+auto agent_node::TakeDecisions() -> std::vector<boost::json::object>
+{
+  return mState->mDecisions.TakeNew();
+}
+
 auto agent_node::Dump(instant aNow) const -> boost::json::value
 {
   return mState->Dump(aNow);
--- a/packages/coordination/src/agent_state.h
+++ b/packages/coordination/src/agent_state.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "agent_decisions.h"
 #include "answer_relay.h"
+#include "decision_log.h"
 #include "endpoint_life.h"
 #include "grant_table.h"
 #include "idempotency_keys.h"
@@ -209,7 +209,7 @@
   model_reconciler mReconciler;
   /// Created with the first event, which tells the start time.
   std::optional<idempotency_keys> mKeys;
-  agent_decisions mDecisions;
+  decision_log mDecisions;
 
   std::map<peer_id, entry_peer> mPeers;
   std::unordered_map<request_id, agent_request> mRequests;
--- a/packages/coordination/src/entry_admission.cpp
+++ b/packages/coordination/src/entry_admission.cpp
@@ -96,7 +96,7 @@
   const auto name = kRefusalNames.NameOf(aReason);
   mMetrics.Counter("bronzering_entry_unaccepted_total", "reason=\"" + std::string(name) + "\"")
     .Add();
-  mLog.Add({ aNow.mWall, {}, {}, {}, {}, std::string(name), {} });
+  mLog.Add(aNow, {}, name);
 }
 
 auto entry_node::state::CheckRequest(const caller_request& aRequest,
--- a/packages/coordination/src/entry_node.cpp
+++ b/packages/coordination/src/entry_node.cpp
@@ -52,10 +52,11 @@
 {
   mLog.Add({ aNow.mWall,
              aRequest.mId,
+             std::string(aWhat),
+             {},
              aRequest.mService,
              aRequest.mOrganisation,
              aRequest.mTier,
-             std::string(aWhat),
              aRequest.mEndpoint });
 }
 
@@ -171,6 +172,11 @@
   return std::exchange(mState->mActions, {});
 }
 
+auto entry_node::TakeDecisions() -> std::vector<boost::json::object>
+{
+  return mState->mLog.TakeNew();
+}
+
 auto entry_node::Dump(instant aNow) const -> boost::json::value
 {
   return mState->Dump(aNow);
--- a/packages/daemon/include/bronzering/daemon.h
+++ b/packages/daemon/include/bronzering/daemon.h
@@ -2,5 +2,6 @@
 
 #include <bronzering/daemon/command_line.h>
 #include <bronzering/daemon/control_loop.h>
+#include <bronzering/daemon/node_log.h>
 #include <bronzering/daemon/process_start.h>
 #include <bronzering/daemon/state_table.h>
--- a/packages/daemon/include/bronzering/daemon/command_line.h
+++ b/packages/daemon/include/bronzering/daemon/command_line.h
@@ -20,8 +20,9 @@
   std::function<int(const settings_input&)> mRun;
 };
 
-/// Runs `run`, `check` or `dump` as the command line says. Returns the exit code: 0 on success, 1
-/// on failure or when a checked file has problems, and other values for a malformed command line.
+/// Runs `run`, `check`, `dump` or `explain` as the command line says. Returns the exit code: 0 on
+/// success, 1 on failure or when a checked file has problems, and other values for a malformed
+/// command line.
 [[nodiscard]] auto RunCommandLine(const daemon_program& aProgram, int aCount, char** aArguments)
   -> int;
 
--- a/packages/daemon/src/command_line.cpp
+++ b/packages/daemon/src/command_line.cpp
@@ -3,11 +3,11 @@
 #include <bronzering/base/errors.h>
 #include <bronzering/config/config_store.h>
 #include <bronzering/daemon/state_table.h>
+#include <bronzering/log/log_query.h>
 #include <bronzering/net/operator_server.h>
 
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <glog/logging.h>
 
 #include <CLI/CLI.hpp>
 
@@ -32,6 +32,8 @@
   bool mChecksSettings = false;
   std::string mDumpAddress;
   bool mDumpsJson = false;
+  std::string mRequest;
+  std::vector<std::string> mLogFiles;
 };
 
 auto Fail(const std::string& aText) -> int
@@ -83,8 +85,19 @@
     [] { return Fail("the state could not be read"); });
 }
 
-auto RunDaemon(const daemon_program& aProgram, const command_options& aOptions, const char* aName)
-  -> int
+auto Explain(const command_options& aOptions) -> int
+{
+  return boost::leaf::try_handle_all(
+    [&]() -> outcome<int> {
+      BOOST_LEAF_AUTO(text, ExplainFromFiles(aOptions.mRequest, aOptions.mLogFiles));
+      std::cout << text;
+      return EXIT_SUCCESS;
+    },
+    [](const io_failure& aFailure) { return Fail(aFailure.mWhat); },
+    [] { return Fail("the logs could not be read"); });
+}
+
+auto RunDaemon(const daemon_program& aProgram, const command_options& aOptions) -> int
 {
   auto input = settings_input{ std::nullopt, ReadSettingsEnvironment(), aOptions.mFlags };
   if (!aOptions.mSettingsFile.empty()) {
@@ -97,8 +110,6 @@
   if (!problems.empty()) {
     return PrintProblems(problems);
   }
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(aName);
   return aProgram.mRun(input);
 }
 
@@ -137,6 +148,10 @@
   dump->add_option("ADDRESS", options.mDumpAddress, "Its operators' address:port")->required();
   dump->add_flag("--json", options.mDumpsJson, "Print JSON instead of tables");
 
+  auto* explain = app.add_subcommand("explain", "Print one request's way from log files");
+  explain->add_option("REQUEST", options.mRequest, "Id of the request")->required();
+  explain->add_option("FILE", options.mLogFiles, "Logs of all entries and agents")->required();
+
   try {
     app.parse(aCount, aArguments);
   } catch (const CLI::ParseError& aError) {
@@ -145,7 +160,10 @@
   if (check->parsed()) {
     return Check(aProgram, options);
   }
-  return dump->parsed() ? Dump(options) : RunDaemon(aProgram, options, aArguments[0]);
+  if (explain->parsed()) {
+    return Explain(options);
+  }
+  return dump->parsed() ? Dump(options) : RunDaemon(aProgram, options);
 }
 
 } // namespace bronzering
--- a/packages/daemon/tests/daemon_test.cpp
+++ b/packages/daemon/tests/daemon_test.cpp
@@ -1,3 +1,5 @@
+#include "captured_output.h"
+
 #include <bronzering/daemon.h>
 
 #include <boost/json.hpp>
@@ -51,6 +53,29 @@
                               "  x  1\n");
 }
 
+TEST_CASE("a node's decisions are logged with the request that they concern", "[daemon]")
+{
+  auto metrics = metrics_registry();
+  auto output = captured_output();
+  {
+    auto log = node_log("vm-1", metrics);
+    auto decisions = std::vector<boost::json::object>();
+    decisions.push_back(
+      { { "what", "dispatch" }, { "request", "1f" }, { "tier", "gold" }, { "endpoint", "e1" } });
+    decisions.push_back({ { "what", "overloaded" }, { "request", "2f" }, { "service", "lamps" } });
+    log.WriteDecisions(std::move(decisions));
+    log.Write("stopping", { { "open", 2 } });
+  }
+  const auto text = output.Drain([] {});
+  CHECK(text.find(
+          R"("process":"vm-1","event":"dispatch","request":"1f","tier":"gold","endpoint":"e1"})") !=
+        std::string::npos);
+  CHECK(text.find(R"("event":"overloaded","request":"2f","service":"lamps"})") !=
+        std::string::npos);
+  CHECK(text.find(R"("event":"stopping","open":2})") != std::string::npos);
+  CHECK(text.find("what") == std::string::npos);
+}
+
 TEST_CASE("check exits non-zero for a missing or invalid file", "[daemon]")
 {
   auto program = daemon_program{ "test", "test", {}, {}, {} };
--- a/packages/entry/src/entry_daemon.cpp
+++ b/packages/entry/src/entry_daemon.cpp
@@ -5,6 +5,7 @@
 #include <bronzering/base/overloaded.h>
 #include <bronzering/coordination/entry_node.h>
 #include <bronzering/daemon/control_loop.h>
+#include <bronzering/daemon/node_log.h>
 #include <bronzering/daemon/process_start.h>
 #include <bronzering/net/caller_server.h>
 #include <bronzering/net/operator_server.h>
@@ -14,10 +15,10 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <glog/logging.h>
 
 #include <algorithm>
 #include <cstdlib>
+#include <iostream>
 #include <memory>
 #include <string>
 #include <utility>
@@ -90,6 +91,7 @@
 public:
   explicit entry_daemon(const entry_process_settings& aSettings)
     : mNodeSettings(NodeSettings(aSettings))
+    , mLog(mNodeSettings.mIdentity.mVm, mMetrics)
     , mLoop(std::max<std::size_t>(1, aSettings.mProcess.mTrafficThreads / 2))
     , mNode(mNodeSettings, mMetrics)
     , mCallers(ServerSettings(aSettings), mLoop.Control(), CallerEvents(), mMetrics)
@@ -117,21 +119,22 @@
     BOOST_LEAF_CHECK(mOperators.Start());
     BOOST_LEAF_CHECK(mCallers.Start());
     mPlatform.Start();
-    LOG(INFO) << "entry: started vm=" << mNodeSettings.mIdentity.mVm
-              << " zone=" << mNodeSettings.mIdentity.mAvailabilityZone
-              << " caller_port=" << mCallers.Port() << " peer_port=" << mPeers.Port()
-              << " operator_port=" << mOperators.Port();
+    mLog.Write("started",
+               { { "role", "entry" },
+                 { "availability_zone", mNodeSettings.mIdentity.mAvailabilityZone },
+                 { "caller_port", mCallers.Port() },
+                 { "peer_port", mPeers.Port() },
+                 { "operator_port", mOperators.Port() } });
     Handle([](entry_node& aNode, instant aNow) { aNode.OnTimer(aNow); });
     mLoop.Run({ [this] { Handle([](entry_node& aNode, instant aNow) { aNode.OnTimer(aNow); }); },
                 [this] { Drain(); },
                 [this] {
-                  LOG(WARNING) << "entry: second signal, ending at once cut_off="
-                               << mCallers.OpenExchanges();
+                  mLog.End("stopped_at_once", { { "cut_off", mCallers.OpenExchanges() } });
                 } });
     mOperators.Stop();
     mPlatform.Stop();
     mCallers.Stop();
-    LOG(INFO) << "entry: ended";
+    mLog.End("stopped", {});
     return EXIT_SUCCESS;
   }
 
@@ -146,9 +149,10 @@
         Perform(std::move(action));
       }
     }
+    mLog.WriteDecisions(mNode.TakeDecisions());
     if (auto config = mNode.Configuration(); config != mConfig) {
       mConfig = std::move(config);
-      LOG(INFO) << "config: in force revision=" << mConfig->mRevision.mValue;
+      mLog.Write("configuration_adopted", { { "revision", mConfig->mRevision.mValue } });
       mCallers.SetConfiguration(mConfig);
     }
     mLoop.ArmTimer(mNode.NextTimer());
@@ -172,7 +176,7 @@
 
   auto Drain() -> void
   {
-    LOG(INFO) << "entry: draining open=" << mCallers.OpenExchanges();
+    mLog.Write("stopping", { { "open", mCallers.OpenExchanges() } });
     mIsDraining = true;
     mCallers.StopAccepting();
     Handle([](entry_node& aNode, instant aNow) { aNode.BeginDrain(aNow); });
@@ -230,6 +234,7 @@
 
   metrics_registry mMetrics;
   entry_settings mNodeSettings;
+  node_log mLog;
   control_loop mLoop;
   entry_node mNode;
   caller_server mCallers;
@@ -243,7 +248,7 @@
 
 auto Fail(const std::string& aWhat) -> int
 {
-  LOG(ERROR) << "entry: cannot start: " << aWhat;
+  std::cerr << "entry: cannot start: " << aWhat << '\n';
   return EXIT_FAILURE;
 }
 
--- a/packages/gateway/include/bronzering/gateway.h
+++ b/packages/gateway/include/bronzering/gateway.h
@@ -1,8 +1,6 @@
 #pragma once
 
 #include <bronzering/gateway/entry_gateway.h>
-#include <bronzering/gateway/event_log.h>
 #include <bronzering/gateway/gateway_settings.h>
 #include <bronzering/gateway/header_dialect.h>
 #include <bronzering/gateway/http_get.h>
-#include <bronzering/gateway/log_query.h>
--- a/packages/gateway/include/bronzering/gateway/entry_gateway.h
+++ b/packages/gateway/include/bronzering/gateway/entry_gateway.h
@@ -4,9 +4,9 @@
 #include <bronzering/base/metrics.h>
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/routing_document.h>
-#include <bronzering/gateway/event_log.h>
 #include <bronzering/gateway/gateway_settings.h>
 #include <bronzering/gateway/header_dialect.h>
+#include <bronzering/log/event_log.h>
 
 #include <boost/asio/io_context.hpp>
 
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -8,9 +8,9 @@
 #include <bronzering/dispatch/quota_ledger.h>
 #include <bronzering/dispatch/repeat_budget.h>
 #include <bronzering/dispatch/route_table.h>
-#include <bronzering/gateway/event_log.h>
 #include <bronzering/gateway/gateway_settings.h>
 #include <bronzering/gateway/header_dialect.h>
+#include <bronzering/log/event_log.h>
 
 #include "dispatch_waiter.h"
 #include "endpoint_connections.h"
--- a/packages/gateway/include/bronzering/gateway/log_query.h
+++ b/packages/log/include/bronzering/log/log_query.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <bronzering/base/errors.h>
+
 #include <iosfwd>
 #include <string>
 #include <string_view>
@@ -13,4 +15,9 @@
 [[nodiscard]] auto ExplainRequest(std::string_view aRequest,
                                   const std::vector<std::istream*>& aLogs) -> std::string;
 
+/// The same for log files. Errors: io_failure when a file cannot be read, or when no line names the
+/// request.
+[[nodiscard]] auto ExplainFromFiles(std::string_view aRequest,
+                                    const std::vector<std::string>& aPaths) -> outcome<std::string>;
+
 } // namespace bronzering
--- a/packages/gateway/src/event_log.cpp
+++ b/packages/log/src/event_log.cpp
@@ -1,4 +1,4 @@
-#include <bronzering/gateway/event_log.h>
+#include <bronzering/log/event_log.h>
 
 #include <boost/json/serialize.hpp>
 
--- a/packages/gateway/src/log_query.cpp
+++ b/packages/log/src/log_query.cpp
@@ -1,4 +1,4 @@
-#include <bronzering/gateway/log_query.h>
+#include <bronzering/log/log_query.h>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -6,6 +6,8 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <deque>
+#include <fstream>
 #include <istream>
 #include <optional>
 #include <utility>
@@ -63,6 +65,25 @@
 
 } // namespace
 
+auto ExplainFromFiles(std::string_view aRequest, const std::vector<std::string>& aPaths)
+  -> outcome<std::string>
+{
+  auto files = std::deque<std::ifstream>();
+  auto logs = std::vector<std::istream*>();
+  for (const auto& path : aPaths) {
+    files.emplace_back(path);
+    if (!files.back()) {
+      return boost::leaf::new_error(io_failure{ "cannot read " + path });
+    }
+    logs.push_back(&files.back());
+  }
+  auto text = ExplainRequest(aRequest, logs);
+  if (text.empty()) {
+    return boost::leaf::new_error(io_failure{ "no line names request " + std::string(aRequest) });
+  }
+  return text;
+}
+
 auto ExplainRequest(std::string_view aRequest, const std::vector<std::istream*>& aLogs)
   -> std::string
 {
--- a/packages/gateway/tests/event_log_test.cpp
+++ b/packages/log/tests/event_log_test.cpp
@@ -1,6 +1,6 @@
 #include "captured_output.h"
 
-#include <bronzering/gateway/event_log.h>
+#include <bronzering/log/event_log.h>
 
 #include <catch2/catch.hpp>
 
--- a/packages/gateway/tests/log_query_test.cpp
+++ b/packages/log/tests/log_query_test.cpp
@@ -1,4 +1,6 @@
-#include <bronzering/gateway/log_query.h>
+#include <bronzering/log/log_query.h>
+
+#include <boost/leaf/handle_errors.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -21,6 +23,17 @@
                 "    +234 ms  b  request_ended: status=503\n");
 }
 
+TEST_CASE("files that are missing or do not name the request are reported", "[log_query]")
+{
+  const auto problem = [](const std::string& aRequest, const std::vector<std::string>& aPaths) {
+    return boost::leaf::try_handle_all([&] { return ExplainFromFiles(aRequest, aPaths); },
+                                       [](const io_failure& aFailure) { return aFailure.mWhat; },
+                                       [] { return std::string("another error"); });
+  };
+  CHECK(problem("r1", { "/nowhere/entry.log" }) == "cannot read /nowhere/entry.log");
+  CHECK(problem("r1", { "/dev/null" }) == "no line names request r1");
+}
+
 TEST_CASE("an unknown request has no lines", "[log_query]")
 {
   auto log = std::istringstream(R"({"unix_ms":1,"event":"dispatched","request":"r10"})");
