--- a/packages/gateway/tests/request_log_test.cpp
+++ b/packages/gateway/tests/request_log_test.cpp
@@ -63,7 +63,11 @@
   auto endpoint = std::make_unique<scripted_endpoint>(fixture->Context(), "e1", std::move(aScript));
   fixture->Publish(aDocument, { endpoint->Listed() });
   fixture->Run([&]() -> awaitable<void> { co_await aTest(*fixture, *endpoint); });
-  return output.Drain([&] { fixture.reset(); });
+  return output.Drain([&] {
+    // The endpoint's sockets belong to the fixture's context.
+    endpoint.reset();
+    fixture.reset();
+  });
 }
 
 /// Sends one request for each path, with the path's position as its id, and waits for the answer.
