--- a/packages/gateway/include/bronzering/gateway/header_names.h
+++ b/packages/gateway/include/bronzering/gateway/header_names.h
@@ -17,6 +17,9 @@
   std::string mTokenCounts;
   /// The caller's estimate of the number of output tokens.
   std::string mOutputHint;
+  /// The parts of the prompt in order, as comma-separated "id:tokens". Requests share parts, except
+  /// for the last one.
+  std::string mPromptParts;
   /// Set on forwarded requests: the caller's organisation.
   std::string mOrganisation;
   /// Set on forwarded requests: the id of the only endpoint that may execute the request.
--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -100,6 +100,7 @@
     mParser->skip(aRequest.method() == http::verb::head);
     auto [error, read] = co_await http::async_read_header(*mSocket, mInput, *mParser, kUseTuple);
     if (error) {
+      mReadError = error;
       co_return false;
     }
     if (Status() < 200) {
@@ -136,6 +137,7 @@
     body.more = true;
     auto [error, read] = co_await http::async_read_some(*mSocket, mInput, *mParser, kUseTuple);
     if (error && error != http::error::need_buffer) {
+      mReadError = error;
       co_return std::nullopt;
     }
     const auto count = mPart.size() - body.size;
--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -56,6 +56,8 @@
   /// Precondition: Send returned true.
   [[nodiscard]] auto Status() const -> unsigned { return mParser->get().result_int(); }
   [[nodiscard]] auto Fields() const -> const http_fields& { return mParser->get().base(); }
+  /// Why the last read failed; no error if none has.
+  [[nodiscard]] auto ReadError() const -> boost::system::error_code { return mReadError; }
 
 private:
   using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
@@ -76,6 +78,7 @@
   std::optional<response_parser> mParser;
   std::array<char, 8UL * 1024> mPart = {};
   bool mIsRequestWritten = false;
+  boost::system::error_code mReadError;
 };
 
 } // namespace bronzering
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/beast/http/status.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/json/value_from.hpp>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -182,10 +183,12 @@
                         { "waiting", decision.mWaiting },
                         { "send", mSends + 1 } },
                       ReadBootClock());
-    const auto outcome = co_await SendOnce(endpoint, decision.mExpected);
+    auto current = attempt{ endpoint, ReadBootClock(), 0, {} };
+    const auto outcome = co_await SendOnce(current, decision.mExpected);
     if (outcome == execution_outcome::Done) {
       co_return;
     }
+    LogFailedAttempt(current, outcome);
     mTriedEndpoints.push_back(endpoint.mId);
     if (outcome == execution_outcome::Retry) {
       continue;
@@ -204,7 +207,7 @@
   }
 }
 
-auto exchange::SendOnce(const endpoint_table::choice& aEndpoint, duration aExpected)
+auto exchange::SendOnce(attempt& aAttempt, duration aExpected)
   -> boost::asio::awaitable<execution_outcome>
 {
   // Ends the outstanding request in the endpoint table however this attempt ends.
@@ -221,49 +224,83 @@
   } guard{ mState, mId };
 
   ++mSends;
-  mLastEndpoint = aEndpoint.mId;
+  const auto& endpoint = aAttempt.mEndpoint;
+  mLastEndpoint = endpoint.mId;
   const auto* service = mState.mEndpoints.ServiceOf(mService);
   const auto maxPooled = MaxPooledConnections(service == nullptr ? 0 : service->mMaxConnections,
                                               mState.mPeers.MemberCount());
   auto call =
-    endpoint_call(mState.mConnections, aEndpoint.mId, mState.mHeaderNames.mRequestId, maxPooled);
+    endpoint_call(mState.mConnections, endpoint.mId, mState.mHeaderNames.mRequestId, maxPooled);
   const auto maxIdle =
     mRoute->mRetryPolicy == retry_policy::Once ? kMaxIdleTimeNoRetry : kMaxIdleTime;
-  if (!co_await call.Open(aEndpoint.mAddress, maxIdle, kConnectTimeout)) {
+  if (!co_await call.Open(endpoint.mAddress, maxIdle, kConnectTimeout)) {
     guard.mResult = attempt_result::Unreachable;
     co_return execution_outcome::NotReached;
   }
+  const auto eventsBefore = mEvents.EventCount();
+  const auto outcome = co_await Transfer(call, aAttempt, aExpected, guard.mResult);
+  aAttempt.mEvents = mEvents.EventCount() - eventsBefore;
+  aAttempt.mReadError = call.ReadError();
+  co_return outcome;
+}
 
+auto exchange::Transfer(endpoint_call& aCall,
+                        attempt& aAttempt,
+                        duration aExpected,
+                        attempt_result& aResult) -> boost::asio::awaitable<execution_outcome>
+{
   // From here on the request may be executed, unless the endpoint reports that it was not.
   ++mExecutions;
   const auto sent = ReadBootClock();
   mFirstSent = mFirstSent.value_or(sent);
-  ArmStallTimer(call,
+  ArmStallTimer(aCall,
                 aExpected * kStallFactor +
                   (mRoute->mIsStream ? kStreamStallMargin : kResponseStallMargin));
-  if (!co_await call.Send(ComposeRequest(aEndpoint.mId))) {
-    guard.mResult = attempt_result::Failed;
+  if (!co_await aCall.Send(ComposeRequest(aAttempt.mEndpoint.mId))) {
+    aResult = attempt_result::Failed;
     co_return execution_outcome::MayHaveExecuted;
   }
-  if (call.Status() == 421) {
+  if (aCall.Status() == 421) {
     --mExecutions;
-    guard.mResult = attempt_result::Unreachable;
+    aResult = attempt_result::Unreachable;
     co_return execution_outcome::NotExecuted;
   }
-  if (call.Fields().count(mState.mHeaderNames.mNotRun) > 0) {
+  if (aCall.Fields().count(mState.mHeaderNames.mNotRun) > 0) {
     --mExecutions;
-    guard.mResult = attempt_result::Declined;
+    aResult = attempt_result::Declined;
     co_return execution_outcome::NotExecuted;
   }
-  const auto isSuccess = call.Status() >= 200 && call.Status() < 300;
-  if (isSuccess && call.Fields()[mState.mHeaderNames.mResponseSeal].empty()) {
-    guard.mResult = attempt_result::Failed;
+  const auto isSuccess = aCall.Status() >= 200 && aCall.Status() < 300;
+  if (isSuccess && aCall.Fields()[mState.mHeaderNames.mResponseSeal].empty()) {
+    aResult = attempt_result::Failed;
     co_return execution_outcome::MayHaveExecuted;
   }
   if (isSuccess && mRoute->mIsStream) {
-    co_return co_await RelayStream(call, guard.mResult);
+    co_return co_await RelayStream(aCall, aResult);
   }
-  co_return co_await RelayBuffered(call, guard.mResult);
+  co_return co_await RelayBuffered(aCall, aResult);
+}
+
+auto exchange::LogFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void
+{
+  const auto now = ReadBootClock();
+  auto line =
+    boost::json::object{ { "request", mMetadata.mId },
+                         { "endpoint", aAttempt.mEndpoint.mId },
+                         { "outcome", kExecutionOutcomeNames.NameOf(aOutcome) },
+                         { "send", mSends },
+                         { "attempt_us", Micros(now - aAttempt.mStarted) },
+                         { "events", aAttempt.mEvents },
+                         { "shared_parts", boost::json::value_from(mMetadata.mSharedParts) } };
+  if (aAttempt.mReadError) {
+    line["read_error"] = aAttempt.mReadError.message();
+  }
+  mState.mLog.Write(log_priority::Notable, "attempt_failed", std::move(line), now);
+  mState.mMetrics
+    .Counter("bronzering_attempt_failures_total",
+             fmt::format(
+               "service=\"{}\",outcome=\"{}\"", mService, kExecutionOutcomeNames.NameOf(aOutcome)))
+    .Add();
 }
 
 auto exchange::RelayBuffered(endpoint_call& aCall, attempt_result& aResult)
@@ -525,6 +562,9 @@
     line["prompt_tokens"] = mMetadata.mEstimatedWork.mPromptTokens;
     line["output_tokens"] = mMetadata.mEstimatedWork.mOutputTokens;
   }
+  if (!mMetadata.mSharedParts.empty()) {
+    line["shared_parts"] = boost::json::value_from(mMetadata.mSharedParts);
+  }
   if (mOrganisation != nullptr) {
     line["organisation"] = mOrganisation->mName;
   }
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -77,13 +77,36 @@
     /// The endpoint responded with an error (5xx), and a retry has been taken from the budget.
     Retry
   };
+  static constexpr auto kExecutionOutcomeNames = name_table<execution_outcome, 5>{
+    { { { execution_outcome::Done, "done" },
+        { execution_outcome::NotReached, "not_reached" },
+        { execution_outcome::NotExecuted, "not_executed" },
+        { execution_outcome::MayHaveExecuted, "may_have_executed" },
+        { execution_outcome::Retry, "retry" } } }
+  };
+
+  /// One sending of the request to an endpoint.
+  struct attempt
+  {
+    endpoint_table::choice mEndpoint;
+    time_point mStarted;
+    /// Events of the stream that this attempt delivered.
+    std::uint64_t mEvents = 0;
+    /// Why the response could not be read to its end; no error if it could.
+    boost::system::error_code mReadError;
+  };
 
   auto Admit() -> boost::asio::awaitable<bool>;
   auto Run() -> boost::asio::awaitable<void>;
   /// Makes one attempt. aExpected is the expected time until the first event, or until the response
   /// for services that are not models; the timeout of the stall timer is derived from it.
-  auto SendOnce(const endpoint_table::choice& aEndpoint, duration aExpected)
-    -> boost::asio::awaitable<execution_outcome>;
+  auto SendOnce(attempt& aAttempt, duration aExpected) -> boost::asio::awaitable<execution_outcome>;
+  /// The part of SendOnce that follows the connection's establishment.
+  auto Transfer(endpoint_call& aCall,
+                attempt& aAttempt,
+                duration aExpected,
+                attempt_result& aResult) -> boost::asio::awaitable<execution_outcome>;
+  auto LogFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void;
   auto RelayBuffered(endpoint_call& aCall, attempt_result& aResult)
     -> boost::asio::awaitable<execution_outcome>;
   auto RelayStream(endpoint_call& aCall, attempt_result& aResult)
--- a/packages/gateway/src/request_fields.cpp
+++ b/packages/gateway/src/request_fields.cpp
@@ -3,6 +3,7 @@
 #include "text_number.h"
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/trim.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <vector>
@@ -32,6 +33,23 @@
   return token_work{ *prompt, *output };
 }
 
+/// Further parts of a prompt are not read, which bounds the work and memory for one request.
+constexpr auto kMaxSharedParts = std::size_t{ 32 };
+
+auto ReadSharedParts(std::string_view aText) -> std::vector<std::string>
+{
+  auto parts = std::vector<std::string>();
+  // The part after the last comma belongs to this request only.
+  for (auto comma = aText.find(',');
+       comma != std::string_view::npos && parts.size() < kMaxSharedParts;
+       comma = aText.find(',')) {
+    const auto part = boost::algorithm::trim_copy(aText.substr(0, comma));
+    parts.emplace_back(part.substr(0, part.find(':')));
+    aText.remove_prefix(comma + 1);
+  }
+  return parts;
+}
+
 /// Hop-by-hop headers, including those named by the Connection header, and headers that are set
 /// again for the forwarded request.
 auto ConnectionFields(const http_request& aRequest) -> std::vector<std::string>
@@ -67,6 +85,7 @@
   if (const auto hint = ParseUnsigned(View(aRequest[aHeaderNames.mOutputHint]))) {
     metadata.mEstimatedWork.mOutputTokens = *hint;
   }
+  metadata.mSharedParts = ReadSharedParts(View(aRequest[aHeaderNames.mPromptParts]));
   return metadata;
 }
 
--- a/packages/gateway/src/request_fields.h
+++ b/packages/gateway/src/request_fields.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bronzering {
 
@@ -26,6 +27,8 @@
   /// The same, with the caller's estimate of the output tokens instead of the maximum if there is
   /// one; 0 when the request does not give them.
   token_work mEstimatedWork;
+  /// Ids of the prompt parts that other requests may share: all but the last, in order.
+  std::vector<std::string> mSharedParts;
 };
 
 /// Values that cannot be parsed are treated as missing. Thread-safe.
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -96,6 +96,7 @@
   names.mDeadline = "Deadline-Ms";
   names.mTokenCounts = "Tokens";
   names.mOutputHint = "Output-Hint";
+  names.mPromptParts = "Prompt-Parts";
   names.mOrganisation = "Organisation";
   names.mExpectedEndpoint = "Expected-Endpoint";
   names.mResponseSeal = "Seal";
--- a/packages/gateway/tests/request_fields_test.cpp
+++ b/packages/gateway/tests/request_fields_test.cpp
@@ -14,6 +14,7 @@
   names.mDeadline = "Deadline-Ms";
   names.mTokenCounts = "Tokens";
   names.mOutputHint = "Output-Hint";
+  names.mPromptParts = "Prompt-Parts";
   names.mOrganisation = "Organisation";
   names.mReserved = { "Organisation", "Engine-Hold" };
   return names;
@@ -46,6 +47,18 @@
   CHECK(metadata.mEstimatedWork.mOutputTokens == 60);
 }
 
+TEST_CASE("all prompt parts but the last are shared", "[request_fields]")
+{
+  const auto sharedParts = [](const std::string& aText) {
+    auto request = Request();
+    request.set("Prompt-Parts", aText);
+    return ReadRequestMetadata(request, HeaderNames()).mSharedParts;
+  };
+  CHECK(sharedParts("5c1e:800, 91bd:410,e440:250") == std::vector<std::string>{ "5c1e", "91bd" });
+  CHECK(sharedParts("e440:250").empty());
+  CHECK(sharedParts("").empty());
+}
+
 TEST_CASE("values that cannot be parsed are treated as missing", "[request_fields]")
 {
   auto request = Request();
