--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -5,6 +5,7 @@
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
 #include <bronzering/dispatch/peer_table.h>
+#include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/route_table.h>
 #include <bronzering/dispatch/routing_document.h>
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -78,6 +78,7 @@
   struct choice
   {
     std::string mId;
+    std::uint64_t mIncarnation = 0;
     std::string mAddress;
     /// Expected time until the first event, or until the response for services that are not models.
     duration mExpected{};
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -3,6 +3,7 @@
 #include <bronzering/base/time.h>
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
+#include <bronzering/dispatch/prompt_quarantine.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -32,6 +33,8 @@
   std::vector<endpoint_load> mLoads;
   /// Organisations whose total changed since the last digest; a full digest has all of them.
   std::vector<organisation_usage> mOrganisationUsage;
+  /// Only in full digests and for a short time after a change.
+  std::vector<crash_evidence> mCrashEvidence;
   /// Only in full digests: measured speeds, and the addresses of the sender's live peers.
   std::vector<endpoint_speed> mSpeeds;
   std::vector<std::string> mPeers;
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -131,7 +131,7 @@
     }
     const auto expected = ExpectedLatency(endpoint, *service, total, aWork);
     if (!best || expected < best->mExpected) {
-      best = choice{ id, listed.mAddress, expected, isFull };
+      best = choice{ id, listed.mIncarnation, listed.mAddress, expected, isFull };
     }
   }
   return best;
--- /dev/null
+++ b/packages/dispatch/tests/prompt_quarantine_test.cpp
@@ -0,0 +1,247 @@
+#include <bronzering/base/random_source.h>
+#include <bronzering/dispatch/prompt_quarantine.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace bronzering;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto kStart = time_point(1h);
+constexpr auto kAll = std::size_t{ 1'000'000 };
+/// Parts of prompts.
+constexpr auto kBad = prompt_part_key{ 1 };
+constexpr auto kShared = prompt_part_key{ 2 };
+constexpr auto kOther = prompt_part_key{ 3 };
+
+auto IsRejected(prompt_quarantine& aQuarantine,
+                const std::vector<prompt_part_key>& aParts,
+                time_point aNow) -> bool
+{
+  return aQuarantine.Judge(aParts, aNow).mRejectedPart.has_value();
+}
+
+auto Exchange(prompt_quarantine& aFrom, prompt_quarantine& aTo, time_point aNow) -> void
+{
+  aTo.Merge(aFrom.Evidence(kAll, aNow), aNow);
+}
+
+} // namespace
+
+TEST_CASE("a part that crashed endpoints of different entries is quarantined at all of them",
+          "[prompt_quarantine]")
+{
+  auto first = prompt_quarantine();
+  auto second = prompt_quarantine();
+  auto third = prompt_quarantine();
+  first.OnCrash(100, { kShared, kBad }, kStart);
+  second.OnCrash(101, { kOther, kBad }, kStart + 1s);
+  Exchange(first, third, kStart + 1s);
+  CHECK(!IsRejected(third, { kBad }, kStart + 1s));
+  Exchange(second, third, kStart + 1s);
+  CHECK(IsRejected(third, { kBad }, kStart + 1s));
+  CHECK(third.Judge({ kOther, kBad }, kStart + 2s).mRejectedPart == std::size_t{ 1 });
+
+  // An entry that has restarted learns it from a peer that was not at any of the crashes.
+  auto restarted = prompt_quarantine();
+  Exchange(third, restarted, kStart + 2s);
+  CHECK(IsRejected(restarted, { kBad }, kStart + 2s));
+}
+
+TEST_CASE("several victims of one crash are evidence of one crash", "[prompt_quarantine]")
+{
+  auto first = prompt_quarantine();
+  auto second = prompt_quarantine();
+  first.OnCrash(100, { kBad }, kStart);
+  first.OnCrash(100, { kBad }, kStart);
+  second.OnCrash(100, { kBad }, kStart + 10ms);
+  Exchange(second, first, kStart + 20ms);
+  CHECK(!IsRejected(first, { kBad }, kStart + 20ms));
+}
+
+// Requests that shared another part with the cause were rejected as well.
+TEST_CASE("requests without the part that explains the crashes are admitted", "[prompt_quarantine]")
+{
+  auto quarantine = prompt_quarantine();
+  for (auto crash = crash_id{ 100 }; crash < 103; ++crash) {
+    quarantine.OnCrash(crash, { kShared, kBad }, kStart);
+  }
+  // A victim of two crashes by chance.
+  quarantine.OnCrash(100, { kOther }, kStart);
+  quarantine.OnCrash(101, { kOther }, kStart);
+  CHECK(!IsRejected(quarantine, { kOther }, kStart));
+  CHECK(!IsRejected(quarantine, { kShared }, kStart));
+  CHECK(IsRejected(quarantine, { kShared, kBad }, kStart));
+  // The answer to a request with the shared part leaves one possible cause.
+  quarantine.OnAnswer({ kShared }, kStart + 1s);
+  CHECK(IsRejected(quarantine, { kOther, kBad }, kStart + 1s));
+  CHECK(!IsRejected(quarantine, { kShared }, kStart + 1s));
+}
+
+TEST_CASE("an answer clears a part at all entries", "[prompt_quarantine]")
+{
+  auto first = prompt_quarantine();
+  auto second = prompt_quarantine();
+  first.OnCrash(100, { kShared }, kStart);
+  first.OnCrash(101, { kShared }, kStart);
+  Exchange(first, second, kStart);
+  REQUIRE(IsRejected(second, { kShared }, kStart + 1s));
+  SECTION("if the answer comes after the evidence")
+  {
+    first.OnAnswer({ kShared }, kStart + 1s);
+    Exchange(first, second, kStart + 1s);
+    CHECK(!IsRejected(second, { kShared }, kStart + 1s));
+    // Evidence that is still under way does not bring the suspicion back.
+    Exchange(second, first, kStart + 1s);
+    CHECK(!IsRejected(first, { kShared }, kStart + 1s));
+  }
+  SECTION("if an entry that had no part in the crashes has answered it")
+  {
+    auto third = prompt_quarantine();
+    third.OnAnswer({ kShared }, kStart + 1s);
+    Exchange(second, third, kStart + 2s);
+    CHECK(!IsRejected(third, { kShared }, kStart + 2s));
+    Exchange(third, second, kStart + 2s);
+    CHECK(!IsRejected(second, { kShared }, kStart + 2s));
+  }
+}
+
+// Endpoints that crash together take requests with sound parts with them.
+TEST_CASE("a simultaneous crash of many endpoints does not quarantine a part that was answered",
+          "[prompt_quarantine]")
+{
+  auto quarantine = prompt_quarantine();
+  quarantine.OnAnswer({ kShared }, kStart - 10s);
+  for (auto crash = crash_id{ 100 }; crash < 108; ++crash) {
+    quarantine.OnCrash(crash, { kShared }, kStart + 10ms * (crash - 100));
+  }
+  CHECK(!IsRejected(quarantine, { kShared }, kStart + 1s));
+}
+
+TEST_CASE("a part that was answered before is quarantined once it keeps crashing endpoints",
+          "[prompt_quarantine]")
+{
+  auto quarantine = prompt_quarantine();
+  quarantine.OnAnswer({ kBad }, kStart - 10s);
+  for (auto crash = crash_id{ 100 }; crash < 104; ++crash) {
+    CHECK(!IsRejected(quarantine, { kBad }, kStart));
+    quarantine.OnCrash(crash, { kBad }, kStart + 500ms * (crash - 100));
+  }
+  const auto verdict = quarantine.Judge({ kBad }, kStart + 2s);
+  CHECK(verdict.mRejectedPart);
+  CHECK(verdict.mRetryAfter <= prompt_quarantine::kFirstQuarantine);
+}
+
+TEST_CASE("after the quarantine one trial at a time is made, and a crash prolongs it",
+          "[prompt_quarantine]")
+{
+  auto quarantine = prompt_quarantine();
+  quarantine.OnCrash(100, { kBad }, kStart);
+  quarantine.OnCrash(101, { kBad }, kStart);
+  CHECK(quarantine.Judge({ kBad }, kStart + 1s).mRetryAfter ==
+        prompt_quarantine::kFirstQuarantine - 1s);
+  auto now = kStart + prompt_quarantine::kFirstQuarantine;
+  const auto trial = quarantine.Judge({ kBad }, now);
+  CHECK(trial.mIsTrial);
+  CHECK(!trial.mRejectedPart);
+  CHECK(IsRejected(quarantine, { kBad }, now));
+  quarantine.OnCrash(102, { kBad }, now + 1s);
+  CHECK(quarantine.Judge({ kBad }, now + 1s).mRetryAfter ==
+        prompt_quarantine::kFirstQuarantine * prompt_quarantine::kQuarantineGrowth);
+  // A trial whose request was never sent is followed by another.
+  now += 1s + prompt_quarantine::kFirstQuarantine * prompt_quarantine::kQuarantineGrowth;
+  CHECK(quarantine.Judge({ kBad }, now).mIsTrial);
+  now += prompt_quarantine::kTrialTime;
+  CHECK(quarantine.Judge({ kBad }, now).mIsTrial);
+  quarantine.OnAnswer({ kBad }, now + 1s);
+  CHECK(!IsRejected(quarantine, { kBad }, now + 1s));
+}
+
+// Three requests with such a part may reach endpoints after the fifth crash.
+TEST_CASE("five crashes keep a part from endpoints for minutes", "[prompt_quarantine]")
+{
+  auto quarantine = prompt_quarantine();
+  for (auto crash = crash_id{ 100 }; crash < 105; ++crash) {
+    quarantine.OnCrash(crash, { kShared, kBad }, kStart);
+  }
+  for (auto now = kStart; now < kStart + 5min; now += 100ms) {
+    REQUIRE(IsRejected(quarantine, { kShared, kBad }, now));
+  }
+}
+
+TEST_CASE("evidence expires, also where peers repeat it", "[prompt_quarantine]")
+{
+  auto first = prompt_quarantine();
+  auto second = prompt_quarantine();
+  first.OnCrash(100, { kBad }, kStart);
+  for (auto now = kStart; now < kStart + 5min; now += 1s) {
+    Exchange(first, second, now);
+    Exchange(second, first, now);
+    first.RemoveExpired(now);
+    second.RemoveExpired(now);
+  }
+  CHECK(first.Evidence(kAll, kStart + 5min).empty());
+  CHECK(second.Evidence(kAll, kStart + 5min).empty());
+}
+
+TEST_CASE("the state stays bounded when callers choose the parts", "[prompt_quarantine]")
+{
+  auto quarantine = prompt_quarantine();
+  for (auto crash = crash_id{ 100 }; crash < 120; ++crash) {
+    quarantine.OnCrash(crash, { kBad }, kStart);
+  }
+  for (auto part = prompt_part_key{ 1000 }; part < 10'000; ++part) {
+    quarantine.OnCrash(part, { part }, kStart);
+    quarantine.OnAnswer({ part + 100'000 }, kStart);
+  }
+  CHECK(quarantine.Evidence(kAll, kStart).size() <=
+        prompt_quarantine::kMaxParts + prompt_quarantine::kMaxCrashes);
+  CHECK(IsRejected(quarantine, { kBad }, kStart));
+}
+
+TEST_CASE("entries that exchange their evidence in any order agree", "[prompt_quarantine]")
+{
+  auto random = random_source(7);
+  for (auto round = 0; round < 100; ++round) {
+    auto entries = std::vector<prompt_quarantine>(4);
+    const auto pick = [&random](std::size_t aCount) {
+      return std::min(static_cast<std::size_t>(random.Uniform01() * static_cast<double>(aCount)),
+                      aCount - 1);
+    };
+    auto now = kStart;
+    for (auto step = 0; step < 40; ++step) {
+      now += 100ms;
+      auto& entry = entries[pick(entries.size())];
+      if (random.Uniform01() < 0.7) {
+        entry.OnCrash(100 + pick(6), { 1 + pick(4) }, now);
+      } else {
+        entry.OnAnswer({ 1 + pick(4) }, now);
+      }
+      Exchange(entry, entries[pick(entries.size())], now);
+    }
+    // Two rounds pass everything to everyone.
+    for (auto repeat = 0; repeat < 2; ++repeat) {
+      for (auto& from : entries) {
+        for (auto& to : entries) {
+          Exchange(from, to, now);
+        }
+      }
+    }
+    for (auto part = prompt_part_key{ 1 }; part <= 4; ++part) {
+      auto refuted = std::vector<std::vector<std::pair<crash_id, bool>>>();
+      for (auto& entry : entries) {
+        auto& crashes = refuted.emplace_back();
+        for (const auto& evidence : entry.Evidence(kAll, now)) {
+          if (evidence.mPart == part) {
+            crashes.emplace_back(evidence.mCrash, evidence.mIsRefuted);
+          }
+        }
+        std::sort(crashes.begin(), crashes.end());
+        CHECK(crashes == refuted.front());
+      }
+    }
+  }
+}
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -153,7 +153,10 @@
       endpoints.push_back(endpoint.mId);
     }
     mShared.mConnections.Prune(endpoints, now);
+    mShared.mQuarantine.RemoveExpired(now);
     auto& metrics = mShared.mMetrics;
+    metrics.Gauge("bronzering_suspected_prompt_parts")
+      .Set(static_cast<std::int64_t>(mShared.mQuarantine.SuspectCount(now)));
     metrics.Gauge("bronzering_caller_connections").Set(static_cast<std::int64_t>(mSessions.size()));
     metrics.Gauge("bronzering_requests_waiting")
       .Set(static_cast<std::int64_t>(mShared.mDispatchWaiter.WaitingCount()));
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -44,6 +44,9 @@
 constexpr auto kConfigurationRetryAfter = duration(std::chrono::milliseconds(500));
 /// Callers honour a Retry-After of at most this share of their remaining time.
 constexpr auto kMaxRetryAfterShare = 1.0 / 3;
+/// Events after which an endpoint counts as answering. An endpoint that crashes on a request may
+/// still have sent its first event.
+constexpr auto kAnsweringEvents = 2U;
 constexpr auto kMaxAnswerBytes = std::size_t{ 64 } * 1024 * 1024;
 
 auto Micros(duration aDuration) -> std::int64_t
@@ -132,6 +135,9 @@
   }
 
   mService = route_table::PickService(*mRoute, mState.mRandom.Uniform01());
+  for (const auto& part : mMetadata.mSharedParts) {
+    mPartKeys.push_back(HashPromptPart(mService, part));
+  }
   mRank = { mOrganisation == nullptr ? 0 : mOrganisation->mPriority, mRoute->mPriority };
   mDeadline =
     mArrived + std::min(mRoute->mTimeout, mMetadata.mCallerTimeout.value_or(mRoute->mTimeout));
@@ -162,6 +168,17 @@
 auto exchange::Run() -> boost::asio::awaitable<void>
 {
   for (;;) {
+    const auto verdict = mState.mQuarantine.Judge(mPartKeys, ReadBootClock());
+    if (verdict.mRejectedPart) {
+      co_await RefuseQuarantined(verdict);
+      co_return;
+    }
+    if (verdict.mIsTrial) {
+      mState.mLog.Write(log_priority::Notable,
+                        "quarantine_trial",
+                        { { "request", mMetadata.mId } },
+                        ReadBootClock());
+    }
     const auto decision = co_await mState.mDispatchWaiter.Wait(Ticket());
     mDecision = decision;
     if (!decision.mEndpoint) {
@@ -189,6 +206,7 @@
       co_return;
     }
     LogFailedAttempt(current, outcome);
+    ReportBrokenAttempt(current);
     mTriedEndpoints.push_back(endpoint.mId);
     if (outcome == execution_outcome::Retry) {
       continue;
@@ -323,6 +341,9 @@
   // started cannot change its status any more.
   const auto isError = aCall.Status() >= 500;
   aResult = isError ? attempt_result::Failed : attempt_result::Answered;
+  if (aCall.Status() >= 200 && aCall.Status() < 300) {
+    mState.mQuarantine.OnAnswer(mPartKeys, ReadBootClock());
+  }
   if (mResponseWriter.HasStarted()) {
     co_return execution_outcome::MayHaveExecuted;
   }
@@ -342,6 +363,8 @@
   const auto head = aCall.Fields();
   const auto status = aCall.Status();
   mEvents.BeginAttempt();
+  auto attemptEvents = 0U;
+  auto isAnswering = false;
   for (;;) {
     const auto bytes = co_await aCall.ReadSome();
     if (!bytes) {
@@ -361,6 +384,11 @@
       }
       mLastEvent = now;
     }
+    attemptEvents += part.mEvents;
+    if (!isAnswering && (attemptEvents >= kAnsweringEvents || bytes->empty())) {
+      isAnswering = true;
+      mState.mQuarantine.OnAnswer(mPartKeys, now);
+    }
     if (part.mHasGap) {
       aResult = attempt_result::Failed;
       co_return execution_outcome::MayHaveExecuted;
@@ -409,19 +437,48 @@
   });
 }
 
-auto exchange::Refuse(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
+auto exchange::RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
   -> boost::asio::awaitable<void>
 {
-  const auto now = ReadBootClock();
-  if (mSpentUnits > 0 && mOrganisation != nullptr) {
-    mState.mRateLimiter.Refund(mOrganisation->mName, mSpentUnits, now);
+  constexpr auto kReason = std::string_view("a part of the prompt crashed endpoints");
+  mQuarantineVerdict = aVerdict;
+  mState.mMetrics.Counter("bronzering_quarantine_refusals_total").Add();
+  if (mExecutions > 0) {
+    co_await Fail(502, kReason);
+  } else {
+    co_await RefuseFor(503, kReason, aVerdict.mRetryAfter);
+  }
+}
+
+auto exchange::ReportBrokenAttempt(const attempt& aAttempt) -> void
+{
+  // The gateway itself aborts attempts that stall.
+  const auto brokeOff =
+    aAttempt.mReadError && aAttempt.mReadError != boost::asio::error::operation_aborted;
+  if (brokeOff && aAttempt.mEvents < kAnsweringEvents && !mPartKeys.empty()) {
+    mState.mCrashMonitor.OnBrokenAttempt(aAttempt.mEndpoint, mPartKeys);
   }
+}
+
+auto exchange::Refuse(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
+  -> boost::asio::awaitable<void>
+{
   const auto callerTimeout = mMetadata.mCallerTimeout.value_or(
     mRoute == nullptr ? kConfigurationRetryAfter * 3 : mRoute->mTimeout);
-  const auto left = std::max(duration::zero(), duration(mArrived + callerTimeout - now));
+  const auto left =
+    std::max(duration::zero(), duration(mArrived + callerTimeout - ReadBootClock()));
   const auto retryAfter = std::min(aRetryAfter, FromSeconds(ToSeconds(left) * kMaxRetryAfterShare));
-  mRetryAfter = retryAfter;
-  co_await WriteProblem(aStatus, aReason, true, retryAfter);
+  co_await RefuseFor(aStatus, aReason, retryAfter);
+}
+
+auto exchange::RefuseFor(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
+  -> boost::asio::awaitable<void>
+{
+  if (mSpentUnits > 0 && mOrganisation != nullptr) {
+    mState.mRateLimiter.Refund(mOrganisation->mName, mSpentUnits, ReadBootClock());
+  }
+  mRetryAfter = aRetryAfter;
+  co_await WriteProblem(aStatus, aReason, true, aRetryAfter);
   Finish(exchange_end::Refused, aStatus, aReason);
 }
 
@@ -536,6 +593,10 @@
     aLine["allowed_us"] = Micros(mDecision->mAllowed);
     aLine["waiting"] = mDecision->mWaiting;
   }
+  if (mQuarantineVerdict) {
+    aLine["suspected_part"] = mMetadata.mSharedParts[*mQuarantineVerdict->mRejectedPart];
+    aLine["crashes"] = mQuarantineVerdict->mCrashes;
+  }
   if (mSpentUnits > 0 || mRefusedUnits > 0) {
     aLine["units"] = std::max(mSpentUnits, mRefusedUnits);
     aLine["limit_level"] = mState.mRateLimiter.Level(mOrganisation->mName, ReadBootClock());
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -115,8 +115,17 @@
   /// and, if the request may be retried, aborts the attempt.
   auto ArmStallTimer(endpoint_call& aCall, duration aTimeout) -> void;
 
+  /// Refuses a request with a quarantined part.
+  auto RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
+    -> boost::asio::awaitable<void>;
+  /// Passes on what an attempt says about the parts of the prompt.
+  auto ReportBrokenAttempt(const attempt& aAttempt) -> void;
+  /// Refuses the request with the given retry delay, limited to what callers wait for.
   auto Refuse(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
     -> boost::asio::awaitable<void>;
+  /// Refuses the request with exactly the given retry delay.
+  auto RefuseFor(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
+    -> boost::asio::awaitable<void>;
   auto Fail(unsigned aStatus, std::string_view aReason) -> boost::asio::awaitable<void>;
   auto WriteProblem(unsigned aStatus,
                     std::string_view aReason,
@@ -150,6 +159,10 @@
   const route_spec* mRoute = nullptr;
   const organisation_spec* mOrganisation = nullptr;
   std::string mService;
+  /// The shared parts of the prompt; set at admission.
+  std::vector<prompt_part_key> mPartKeys;
+  /// Why the request was refused, if a part of its prompt is quarantined.
+  std::optional<prompt_quarantine::verdict> mQuarantineVerdict;
   /// Quota units that were taken from the organisation's limit. Refuse returns them to the limit.
   double mSpentUnits = 0;
   /// Quota units for which the request was refused because the limit was exhausted.
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -6,12 +6,14 @@
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
 #include <bronzering/dispatch/peer_table.h>
+#include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/route_table.h>
 #include <bronzering/gateway/gateway_settings.h>
 #include <bronzering/gateway/header_names.h>
 #include <bronzering/log/event_log.h>
 
+#include "crash_monitor.h"
 #include "dispatch_waiter.h"
 #include "endpoint_connection_pool.h"
 
@@ -44,6 +46,8 @@
     , mConnections(aContext)
     , mRateLimiter(mSettings.mQuotaTolerance)
     , mPeers(mSettings.mAddress)
+    , mQuarantine(TrialDelay(mSettings.mAddress))
+    , mCrashMonitor(aContext, mQuarantine, aLog, aMetrics)
     , mFirstDocumentAdopted(aContext)
   {
     mFirstDocumentAdopted.expires_at(boost::asio::steady_timer::time_point::max());
@@ -66,6 +70,8 @@
   /// Retry budgets by service.
   std::map<std::string, fleet_retry_budget, std::less<>> mRetryBudgets;
   peer_table mPeers;
+  prompt_quarantine mQuarantine;
+  crash_monitor mCrashMonitor;
   /// Never expires; cancelled to wake its waiters when a routing document is adopted.
   boost::asio::steady_timer mFirstDocumentAdopted;
   std::uint64_t mExchangeCount = 0;
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -22,6 +22,10 @@
 constexpr auto kIntervalPerPeer = duration(std::chrono::milliseconds(5));
 /// Every how many digests one is full: it carries all totals, learned speeds and known peers.
 constexpr auto kFullDigestEvery = 20U;
+/// Number of digests that repeat changed crash evidence, since datagrams may be lost, and the most
+/// that one digest carries.
+constexpr auto kEvidenceRepeats = 3U;
+constexpr auto kMaxEvidence = std::size_t{ 48 };
 /// A peer that has sent this many digests has been running for at least 4 s.
 constexpr auto kEstablishedSequence = 100U;
 
@@ -78,6 +82,7 @@
       mState.mRateLimiter.OnPeerUsage(
         digest->mSender, digest->mIncarnation, digest->mOrganisationUsage, now);
     }
+    mState.mQuarantine.Merge(digest->mCrashEvidence, now);
     mState.mEndpoints.SetPeerLoads(digest->mSender, digest->mLoads);
     mState.mEndpoints.SetPeerSpeeds(digest->mSpeeds);
     ReportPeerChanges(now);
@@ -124,6 +129,14 @@
   } else {
     digest.mOrganisationUsage = ChangedUsage(std::move(digest.mOrganisationUsage));
   }
+  if (mState.mQuarantine.Changes() != mSentEvidenceChanges) {
+    mSentEvidenceChanges = mState.mQuarantine.Changes();
+    mEvidenceRepeats = kEvidenceRepeats;
+  }
+  if (mEvidenceRepeats > 0 || mSequence % kFullDigestEvery == 1) {
+    digest.mCrashEvidence = mState.mQuarantine.Evidence(kMaxEvidence, ReadBootClock());
+    mEvidenceRepeats -= std::min(mEvidenceRepeats, 1U);
+  }
   const auto bytes = EncodeDigest(digest);
   for (const auto& target : mState.mPeers.Targets(ReadBootClock())) {
     auto error = boost::system::error_code();
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -43,6 +43,9 @@
   std::uint64_t mSequence = 0;
   /// The totals sent last, by the organisation's key.
   std::unordered_map<std::uint64_t, double> mSentTotals;
+  /// prompt_quarantine::Changes at the last digest, and how many more digests repeat the evidence.
+  std::uint64_t mSentEvidenceChanges = 0;
+  std::uint32_t mEvidenceRepeats = 0;
   /// Receive buffer, large enough for any UDP datagram.
   std::array<char, 64UL * 1024> mInput = {};
 };
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -71,6 +71,13 @@
     peers.push_back(ToNumber(address));
   }
 
+  auto crashEvidence = std::vector<peer::CrashEvidence>();
+  for (const auto& evidence : aDigest.mCrashEvidence) {
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(evidence.mAge).count();
+    crashEvidence.emplace_back(
+      evidence.mPart, evidence.mCrash, Clamp<std::uint32_t>(age), evidence.mIsRefuted);
+  }
+
   // Empty vectors are omitted to keep digests small.
   const auto orNull = [](const auto& aList) { return aList.empty() ? nullptr : &aList; };
   auto builder = flatbuffers::FlatBufferBuilder();
@@ -84,7 +91,8 @@
                                           orNull(spending),
                                           orNull(peers),
                                           orNull(speeds),
-                                          aDigest.mIsSourceStable));
+                                          aDigest.mIsSourceStable,
+                                          orNull(crashEvidence)));
   return Finished(builder);
 }
 
@@ -124,6 +132,14 @@
       digest.mPeers.push_back(ToAddress(address));
     }
   }
+  if (message->crash_evidence() != nullptr) {
+    for (const auto* evidence : *message->crash_evidence()) {
+      digest.mCrashEvidence.push_back({ evidence->part(),
+                                        evidence->crash(),
+                                        std::chrono::milliseconds(evidence->age_ms()),
+                                        evidence->is_refuted() });
+    }
+  }
   return digest;
 }
 
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -41,6 +41,7 @@
 }
 
 auto ServeScript(tcp::socket aSocket,
+                 std::weak_ptr<tcp::acceptor> aAcceptor,
                  scripted_endpoint::script aScript,
                  std::shared_ptr<std::vector<http_request>> aRequests,
                  std::shared_ptr<int> aDisconnects) -> boost::asio::awaitable<void>
@@ -55,6 +56,13 @@
     aRequests->push_back(request);
     const auto reaction = aScript(request);
     co_await boost::asio::async_write(aSocket, boost::asio::buffer(reaction.mText), kUseTuple);
+    if (reaction.mEnding == scripted_endpoint::ending::Crash) {
+      if (const auto acceptor = aAcceptor.lock()) {
+        acceptor->close();
+      }
+      AbortSocket(aSocket);
+      co_return;
+    }
     if (reaction.mEnding == scripted_endpoint::ending::Reset) {
       AbortSocket(aSocket);
       co_return;
@@ -81,9 +89,10 @@
     if (error) {
       co_return;
     }
-    boost::asio::co_spawn(aAcceptor->get_executor(),
-                          ServeScript(std::move(socket), aScript, aRequests, aDisconnects),
-                          boost::asio::detached);
+    boost::asio::co_spawn(
+      aAcceptor->get_executor(),
+      ServeScript(std::move(socket), aAcceptor, aScript, aRequests, aDisconnects),
+      boost::asio::detached);
   }
 }
 
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -33,7 +33,9 @@
     Close,
     Reset,
     /// Writes nothing more and waits for the other side to close.
-    Hang
+    Hang,
+    /// Resets the connection and accepts no more connections, like a process that has crashed.
+    Crash
   };
   struct reaction
   {
@@ -110,9 +112,11 @@
   auto TryStart(const std::vector<std::string>& aSeeds) -> bool;
   [[nodiscard]] auto Decoder() const -> item_decoder;
 
-  std::unique_ptr<boost::asio::io_context> mContext = std::make_unique<boost::asio::io_context>(1);
+  /// Outlive the context: a request that is cut off when the context is destroyed still writes its
+  /// final log line.
   metrics_registry mMetrics;
   std::unique_ptr<event_log> mLog;
+  std::unique_ptr<boost::asio::io_context> mContext = std::make_unique<boost::asio::io_context>(1);
   std::string mAddress;
   std::uint16_t mCallerPort = 0;
   std::uint16_t mReadyPort = 0;
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -17,6 +17,7 @@
   digest.mLoads = { { 42, 3, 5000, 700 } };
   digest.mSpeeds = { { 44, 4ms, 15.5 } };
   digest.mOrganisationUsage = { { 43, 1234.5 } };
+  digest.mCrashEvidence = { { 45, 46, 1500ms, true }, { 45, 47, 0ms, false } };
   digest.mPeers = { "10.0.0.2" };
   const auto decoded = DecodeDigest(EncodeDigest(digest));
   REQUIRE(decoded);
@@ -37,6 +38,7 @@
   CHECK(decoded->mSpeeds[0].mPromptTokenMicros == Approx(15.5));
   REQUIRE(decoded->mOrganisationUsage.size() == 1);
   CHECK(decoded->mOrganisationUsage[0].mTotal == 1234.5);
+  CHECK(decoded->mCrashEvidence == digest.mCrashEvidence);
   CHECK(decoded->mPeers == digest.mPeers);
 }
 
