--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -56,6 +57,10 @@
   /// Precondition: Send returned true.
   [[nodiscard]] auto Status() const -> unsigned { return mParser->get().result_int(); }
   [[nodiscard]] auto Fields() const -> const http_fields& { return mParser->get().base(); }
+  /// Whether the response has neither a length nor chunks, so that it ends with its connection.
+  [[nodiscard]] auto EndsWithConnection() const -> bool { return mParser->need_eof(); }
+  /// Records that the response is incomplete although its framing does not show it.
+  auto MarkIncomplete() -> void { mReadError = boost::beast::http::error::partial_message; }
   /// Why the last read failed; no error if none has.
   [[nodiscard]] auto ReadError() const -> boost::system::error_code { return mReadError; }
 
--- a/packages/gateway/src/event_splitter.h
+++ b/packages/gateway/src/event_splitter.h
@@ -23,7 +23,8 @@
 
   /// Adds the next bytes of the current attempt.
   auto Add(std::string_view aBytes) -> part;
-  /// The bytes after the last complete event, for the end of the stream.
+  /// The bytes after the last complete event. Unless it is empty, a stream that ends here was
+  /// broken off.
   [[nodiscard]] auto PartialEvent() const -> const std::string& { return mPending; }
   /// Starts a new attempt at the same request and discards the partial event of the previous one.
   auto BeginAttempt() -> void;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -373,10 +373,7 @@
     }
     const auto now = ReadBootClock();
     ArmStallTimer(aCall, kEventStallTimeout);
-    auto part = mEvents.Add(*bytes);
-    if (bytes->empty()) {
-      part.mBytes += mEvents.PartialEvent();
-    }
+    const auto part = mEvents.Add(*bytes);
     mState.mEndpoints.OnEvents(mId, part.mEvents, now);
     if (part.mEvents > 0) {
       if (mLastEvent) {
@@ -385,7 +382,16 @@
       mLastEvent = now;
     }
     attemptEvents += part.mEvents;
-    if (!isAnswering && (attemptEvents >= kAnsweringEvents || bytes->empty())) {
+    // A crash ends a response without a length like its regular end does.
+    const auto isCutOff = bytes->empty() && (!mEvents.PartialEvent().empty() ||
+                                             (attemptEvents == 0 && aCall.EndsWithConnection()));
+    if (isCutOff) {
+      aCall.MarkIncomplete();
+      aResult = attempt_result::Failed;
+      co_return execution_outcome::MayHaveExecuted;
+    }
+    const auto isFramedEnd = bytes->empty() && !aCall.EndsWithConnection();
+    if (!isAnswering && (attemptEvents >= kAnsweringEvents || isFramedEnd)) {
       isAnswering = true;
       mState.mQuarantine.OnAnswer(mPartKeys, now);
     }
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -327,6 +327,47 @@
   });
 }
 
+// A crashed endpoint ended such a response, and the caller took the half event for the last one.
+TEST_CASE("a stream without a length that ends inside an event is broken off", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto rest = std::string("id: 2\nda");
+  auto runs = 0;
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    if (++runs == 1) {
+      return { "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n\r\nid: 1\ndata: e1\n\n" + rest,
+               ending::Close };
+    }
+    return { Events(aRequest, 2, 3) + "0\r\n\r\n", ending::Keep };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", script);
+  auto second = scripted_endpoint(fixture.Context(), "e2", script);
+  fixture.Publish(TestDocument(), { first.Listed(), second.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    SECTION("it does not end like a complete one")
+    {
+      auto request = RequestText("/stream/x");
+      const auto answer = co_await fixture.Ask(std::move(request));
+      CHECK(!answer);
+    }
+    SECTION("it is resumed where the route allows it")
+    {
+      auto request = RequestText("/resume/x");
+      const auto answer = co_await fixture.Ask(std::move(request));
+      REQUIRE(answer);
+      CHECK(answer->mBody == "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n");
+    }
+    SECTION("one that ends after an event is complete")
+    {
+      rest.clear();
+      auto request = RequestText("/stream/x");
+      const auto answer = co_await fixture.Ask(std::move(request));
+      REQUIRE(answer);
+      CHECK(answer->mBody == "id: 1\ndata: e1\n\n");
+    }
+  });
+}
+
 TEST_CASE("a caller's disconnect closes the connection to the endpoint", "[entry_gateway]")
 {
   auto fixture = gateway_fixture();
