--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -25,6 +25,8 @@
 /// Maximum number of responses that are skipped: interim (1xx) responses, and those that do not
 /// carry the id of this request, such as a late response to the connection's previous request.
 constexpr auto kMaxSkippedResponses = 3;
+/// Maximum size of a skipped body. Endpoints in trouble may send bytes without end.
+constexpr auto kMaxSkippedBytes = std::size_t{ 1 } * 1024 * 1024;
 /// Time for which an endpoint is assumed to keep an idle connection open when its response has no
 /// Keep-Alive timeout.
 constexpr auto kDefaultIdleLimit = duration(std::chrono::seconds(2));
@@ -118,12 +120,18 @@
 
 auto endpoint_call::SkipBody() -> boost::asio::awaitable<bool>
 {
+  auto skipped = std::size_t{ 0 };
   while (!mParser->is_done()) {
     // No value means that the response broke off.
     const auto part = co_await ReadSome();
     if (!part) {
       co_return false;
     }
+    skipped += part->size();
+    if (skipped > kMaxSkippedBytes) {
+      MarkIncomplete();
+      co_return false;
+    }
   }
   co_return mParser->keep_alive();
 }
--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -65,6 +66,8 @@
   [[nodiscard]] auto ReadError() const -> boost::system::error_code { return mReadError; }
 
 private:
+  /// Larger than a header may be, so that the header's own limit is reached first.
+  static constexpr auto kMaxInputBytes = std::size_t{ 64 } * 1024;
   using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   auto ReadHead(const http_request& aRequest) -> boost::asio::awaitable<bool>;
@@ -79,7 +82,9 @@
   std::size_t mMaxPooled;
   std::optional<boost::asio::ip::tcp::socket> mSocket;
   std::optional<boost::asio::steady_timer> mStallTimer;
-  boost::beast::flat_buffer mInput;
+  /// Bytes that the parser has not consumed. Bounds what it asks for at once, such as a chunk
+  /// header or a trailer.
+  boost::beast::flat_buffer mInput{ kMaxInputBytes };
   std::optional<response_parser> mParser;
   std::array<char, 8UL * 1024> mPart = {};
   bool mIsRequestWritten = false;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -47,7 +47,10 @@
 /// Events after which an endpoint counts as answering. An endpoint that crashes on a request may
 /// still have sent its first event.
 constexpr auto kAnsweringEvents = 2U;
-constexpr auto kMaxAnswerBytes = std::size_t{ 64 } * 1024 * 1024;
+/// Maximum size of a buffered answer and of one event. Endpoints in trouble may send bytes without
+/// end, and several such answers have to fit into the entry's memory.
+constexpr auto kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
+constexpr auto kMaxEventBytes = std::size_t{ 1 } * 1024 * 1024;
 
 auto Micros(duration aDuration) -> std::int64_t
 {
@@ -385,7 +388,7 @@
     // A crash ends a response without a length like its regular end does.
     const auto isCutOff = bytes->empty() && (!mEvents.PartialEvent().empty() ||
                                              (attemptEvents == 0 && aCall.EndsWithConnection()));
-    if (isCutOff) {
+    if (isCutOff || mEvents.PartialEvent().size() > kMaxEventBytes) {
       aCall.MarkIncomplete();
       aResult = attempt_result::Failed;
       co_return execution_outcome::MayHaveExecuted;
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -368,6 +368,58 @@
   });
 }
 
+// An endpoint sent bytes without end; the gateway read and kept them until the deadline.
+TEST_CASE("an endpoint that sends bytes without end is cut off before the deadline",
+          "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto path = std::string("/once/x");
+  auto text = std::string();
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", [&](const http_request&) -> reaction {
+    return { text, ending::Endless };
+  });
+  SECTION("in the status line")
+  {
+    text = "HTTP/1.1 200 x";
+  }
+  SECTION("in a header")
+  {
+    text = "HTTP/1.1 200 OK\r\nRequest-Id: x";
+  }
+  SECTION("in the body of a response to another request")
+  {
+    text = "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nSeal: s\r\n\r\nx";
+  }
+  SECTION("in the body of a response")
+  {
+    text = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n\r\nx";
+  }
+  SECTION("in the extension of a chunk")
+  {
+    text = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;x";
+  }
+  SECTION("in a trailer")
+  {
+    text = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "1\r\nx\r\n0\r\nx";
+  }
+  SECTION("in an event of a stream")
+  {
+    path = "/stream/x";
+    text = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n\r\nid: 1\ndata: x";
+  }
+  fixture.Publish(TestDocument(), { endpoint.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto request = RequestText(path);
+    const auto answer = co_await fixture.Ask(std::move(request));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 502);
+    while (endpoint.Disconnects() == 0) {
+      co_await Pause(fixture.Context(), 5ms);
+    }
+  });
+}
+
 TEST_CASE("a caller's disconnect closes the connection to the endpoint", "[entry_gateway]")
 {
   auto fixture = gateway_fixture();
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -63,6 +63,16 @@
       AbortSocket(aSocket);
       co_return;
     }
+    if (reaction.mEnding == scripted_endpoint::ending::Endless) {
+      const auto filler = std::string(64UL * 1024, reaction.mText.back());
+      for (auto failure = boost::system::error_code(); !failure;) {
+        auto [writeError, written] =
+          co_await boost::asio::async_write(aSocket, boost::asio::buffer(filler), kUseTuple);
+        failure = writeError;
+      }
+      ++*aDisconnects;
+      co_return;
+    }
     if (reaction.mEnding == scripted_endpoint::ending::Reset) {
       AbortSocket(aSocket);
       co_return;
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -34,6 +34,8 @@
     Reset,
     /// Writes nothing more and waits for the other side to close.
     Hang,
+    /// Repeats the text's last bytes until the other side closes.
+    Endless,
     /// Resets the connection and accepts no more connections, like a process that has crashed.
     Crash
   };
@@ -47,7 +49,7 @@
   scripted_endpoint(boost::asio::io_context& aContext, std::string aId, script aScript);
   [[nodiscard]] auto Listed() const -> listed_endpoint;
   [[nodiscard]] auto Requests() const -> const std::vector<http_request>& { return *mRequests; }
-  /// Number of connections that the other side closed while the endpoint hung.
+  /// Number of connections that the other side closed while the endpoint hung or wrote endlessly.
   [[nodiscard]] auto Disconnects() const -> int { return *mDisconnects; }
 
 private:
