--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bronzering/dispatch/dispatch_queue.h>
+#include <bronzering/dispatch/endpoint_rate_limiter.h>
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
--- a/packages/gateway/include/bronzering/gateway/header_names.h
+++ b/packages/gateway/include/bronzering/gateway/header_names.h
@@ -29,6 +29,8 @@
   std::string mResponseSeal;
   /// Set by endpoints: the request was not executed.
   std::string mNotRun;
+  /// Set by endpoints: the requests per second that the endpoint takes from all entries.
+  std::string mRateLimit;
   /// Id of the last delivered event, set when a stream is resumed.
   std::string mLastEventId;
   /// Headers that are removed from callers' requests: those that the gateway sets itself, and those
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -1,5 +1,6 @@
 #include "exchange.h"
 
+#include "text_number.h"
 #include "with_timeout.h"
 
 #include <bronzering/base/boot_clock.h>
@@ -286,6 +287,7 @@
     aResult = attempt_result::Unreachable;
     co_return execution_outcome::NotExecuted;
   }
+  RecordRateLimit(aCall, aAttempt);
   if (aCall.Fields().count(mState.mHeaderNames.mNotRun) > 0) {
     --mExecutions;
     aResult = attempt_result::Declined;
@@ -302,6 +304,30 @@
   co_return co_await RelayBuffered(aCall, aResult);
 }
 
+auto exchange::RecordRateLimit(const endpoint_call& aCall, const attempt& aAttempt) -> void
+{
+  const auto now = ReadBootClock();
+  const auto& endpoint = aAttempt.mEndpoint;
+  const auto text = aCall.Fields()[mState.mHeaderNames.mRateLimit];
+  const auto limit = ParseDecimal({ text.data(), text.size() });
+  if (!limit && !text.empty()) {
+    mState.mLog.Write(log_priority::Notable,
+                      "rate_limit_malformed",
+                      { { "endpoint", endpoint.mId }, { "value", text } },
+                      now);
+    return;
+  }
+  const auto key = HashEndpointIncarnation(endpoint.mId, endpoint.mIncarnation);
+  if (mState.mEndpointLimits.OnAnswer(key, limit, aAttempt.mStarted, now)) {
+    mState.mLog.Write(log_priority::Notable,
+                      "rate_limit_changed",
+                      { { "endpoint", endpoint.mId },
+                        { "limit_per_s", limit ? boost::json::value(*limit) : nullptr },
+                        { "request", mMetadata.mId } },
+                      now);
+  }
+}
+
 auto exchange::LogFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void
 {
   const auto now = ReadBootClock();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -106,6 +106,8 @@
                 attempt& aAttempt,
                 duration aExpected,
                 attempt_result& aResult) -> boost::asio::awaitable<execution_outcome>;
+  /// Records the rate limit that the endpoint names in its answer.
+  auto RecordRateLimit(const endpoint_call& aCall, const attempt& aAttempt) -> void;
   auto LogFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void;
   auto RelayBuffered(endpoint_call& aCall, attempt_result& aResult)
     -> boost::asio::awaitable<execution_outcome>;
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -2,6 +2,7 @@
 
 #include <bronzering/base/random_source.h>
 #include <bronzering/dispatch/dispatch_queue.h>
+#include <bronzering/dispatch/endpoint_rate_limiter.h>
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
@@ -63,6 +64,7 @@
   /// Null until a routing document is known.
   std::shared_ptr<const route_table> mRoutes;
   published_items mItems;
+  endpoint_rate_limiter mEndpointLimits;
   endpoint_table mEndpoints;
   dispatch_waiter mDispatchWaiter;
   endpoint_connection_pool mConnections;
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -120,6 +120,7 @@
   names.mExpectedEndpoint = "Expected-Endpoint";
   names.mResponseSeal = "Seal";
   names.mNotRun = "Not-Run";
+  names.mRateLimit = "Rate-Limit";
   names.mLastEventId = "Last-Event-Id";
   names.mReserved = { "Organisation", "Expected-Endpoint", "Engine-Hold" };
   return names;
