--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include <bronzering/base/ids.h>
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/endpoint_rate_limiter.h>
 #include <bronzering/dispatch/routing_document.h>
 
 #include <cstdint>
@@ -70,8 +71,9 @@
 };
 
 /// Load balancer over the endpoints of all services. Combines the platform's list, the outstanding
-/// work of all entries, measured speeds and recent failures, and chooses the endpoint with the
-/// lowest expected time to the first event. Not thread-safe: owned by the control thread.
+/// work of all entries, measured speeds, recent failures and the rate limits that endpoints name,
+/// and chooses the endpoint with the lowest expected time to the first event. Not thread-safe:
+/// owned by the control thread.
 class endpoint_table
 {
 public:
@@ -86,7 +88,8 @@
     bool mIsFull = false;
   };
 
-  explicit endpoint_table(std::string aAvailabilityZone);
+  /// aSelf is the address of this entry.
+  explicit endpoint_table(std::string aAvailabilityZone, std::string aSelf = {});
 
   auto Configure(const std::vector<service_spec>& aServices) -> void;
   /// Replaces the list of endpoints. Load, speed and failures of endpoints that did not restart are
@@ -126,6 +129,14 @@
   /// Speeds measured by this entry.
   [[nodiscard]] auto OwnSpeeds() const -> std::vector<endpoint_speed>;
 
+  [[nodiscard]] auto RateLimits() -> endpoint_rate_limiter& { return mRateLimits; }
+  /// Number of endpoints of a service whose rate limit leaves this entry no request now.
+  [[nodiscard]] auto RateLimitedCount(std::string_view aService, time_point aNow) const
+    -> std::size_t;
+  /// Time until the rate limit of some endpoint of the service leaves this entry a request; zero if
+  /// there is one now, or none will come.
+  [[nodiscard]] auto TimeToAdmission(std::string_view aService, time_point aNow) const -> duration;
+
   [[nodiscard]] auto Endpoints() const -> std::vector<listed_endpoint>;
   [[nodiscard]] auto ServiceOf(std::string_view aName) const -> const service_spec*;
 
@@ -133,6 +144,7 @@
   struct endpoint_state
   {
     listed_endpoint mListed;
+    endpoint_incarnation_key mIncarnationKey = 0;
     endpoint_load mOwnLoad;
     endpoint_speed mSpeed;
     std::uint32_t mConsecutiveFailures = 0;
@@ -172,6 +184,7 @@
   [[nodiscard]] auto Find(const outstanding_request& aSent) -> endpoint_state*;
 
   std::string mAvailabilityZone;
+  endpoint_rate_limiter mRateLimits;
   std::map<std::string, service_spec, std::less<>> mServices;
   std::map<std::string, endpoint_state, std::less<>> mEndpoints;
   std::unordered_map<exchange_id, outstanding_request> mOutstanding;
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -30,11 +30,14 @@
   /// The sender has been connected to the source of the items without interruption for at least
   /// the grace period for expired items.
   bool mIsSourceStable = false;
+  /// Requests per second that the sender's callers send.
+  double mDemand = 0;
   std::vector<endpoint_load> mLoads;
   /// Organisations whose total changed since the last digest; a full digest has all of them.
   std::vector<organisation_usage> mOrganisationUsage;
   /// Only in full digests and for a short time after a change.
   std::vector<crash_evidence> mCrashEvidence;
+  std::vector<rate_limit_statement> mRateLimits;
   /// Only in full digests: measured speeds, and the addresses of the sender's live peers.
   std::vector<endpoint_speed> mSpeeds;
   std::vector<std::string> mPeers;
@@ -74,6 +77,8 @@
   [[nodiscard]] auto LivePeers() const -> std::vector<std::string>;
   /// Number of entries: this one, live peers, and timed-out peers that may still run.
   [[nodiscard]] auto MemberCount() const -> std::size_t;
+  /// The peers that MemberCount counts, with their last known demand.
+  [[nodiscard]] auto Demands() const -> std::vector<entry_demand>;
   /// The live peer with the highest revision above aRevision; empty if there is none.
   [[nodiscard]] auto FindNewerPeer(std::uint64_t aRevision) const -> std::optional<std::string>;
   /// Whether a live peer with a stable connection to the source holds aRevision or a later one.
@@ -88,6 +93,7 @@
     bool mIsSourceStable = false;
     bool mIsLive = false;
     bool mIsLeaving = false;
+    double mDemand = 0;
     time_point mLastDigest;
   };
 
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -63,8 +63,9 @@
   return static_cast<endpoint_key>(HashText(aId));
 }
 
-endpoint_table::endpoint_table(std::string aAvailabilityZone)
+endpoint_table::endpoint_table(std::string aAvailabilityZone, std::string aSelf)
   : mAvailabilityZone(std::move(aAvailabilityZone))
+  , mRateLimits(std::move(aSelf))
 {
 }
 
@@ -78,6 +79,7 @@
 
 auto endpoint_table::Apply(std::vector<listed_endpoint> aEndpoints, time_point aNow) -> void
 {
+  mRateLimits.SetEndpoints(aEndpoints, aNow);
   auto previous = std::move(mEndpoints);
   mEndpoints.clear();
   for (auto& listed : aEndpoints) {
@@ -88,6 +90,7 @@
     } else {
       state.mAvoidUntil = aNow;
     }
+    state.mIncarnationKey = HashEndpointIncarnation(listed.mId, listed.mIncarnation);
     state.mOwnLoad.mKey = HashEndpointId(listed.mId);
     state.mSpeed.mKey = state.mOwnLoad.mKey;
     auto id = listed.mId;
@@ -126,6 +129,9 @@
     const auto isFull = total.mRequests >= listed.mSlots;
     const auto hasConnection =
       service->mMaxConnections == 0 || total.mRequests < service->mMaxConnections;
+    if (mRateLimits.TimeToAdmission(endpoint.mIncarnationKey, aNow) != duration::zero()) {
+      continue;
+    }
     if (!hasConnection || (aRequirement == slot_requirement::FreeSlot && isFull)) {
       continue;
     }
@@ -159,6 +165,7 @@
                                             false,
                                             aNow,
                                             aNow });
+  mRateLimits.OnSent(endpoint.mIncarnationKey, aNow);
   ++endpoint.mOwnLoad.mRequests;
   endpoint.mOwnLoad.mPromptTokens += aWork.mPromptTokens;
   endpoint.mOwnLoad.mOutputTokens += aWork.mOutputTokens;
@@ -309,6 +316,30 @@
   return speeds;
 }
 
+auto endpoint_table::RateLimitedCount(std::string_view aService, time_point aNow) const
+  -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(mEndpoints.begin(), mEndpoints.end(), [&](const auto& aEntry) {
+      return aEntry.second.mListed.mService == aService &&
+             mRateLimits.TimeToAdmission(aEntry.second.mIncarnationKey, aNow) != duration::zero();
+    }));
+}
+
+auto endpoint_table::TimeToAdmission(std::string_view aService, time_point aNow) const -> duration
+{
+  auto earliest = std::optional<duration>();
+  for (const auto& [id, endpoint] : mEndpoints) {
+    if (endpoint.mListed.mService != aService || endpoint.mListed.mIsLeaving) {
+      continue;
+    }
+    if (const auto time = mRateLimits.TimeToAdmission(endpoint.mIncarnationKey, aNow)) {
+      earliest = std::min(earliest.value_or(*time), *time);
+    }
+  }
+  return earliest.value_or(duration::zero());
+}
+
 auto endpoint_table::Endpoints() const -> std::vector<listed_endpoint>
 {
   auto endpoints = std::vector<listed_endpoint>();
--- a/packages/dispatch/src/peer_table.cpp
+++ b/packages/dispatch/src/peer_table.cpp
@@ -40,6 +40,7 @@
                      aDigest.mIsSourceStable,
                      true,
                      aDigest.mIsLeaving,
+                     aDigest.mDemand,
                      aNow };
   mCandidates.erase(aDigest.mSender);
   for (const auto& address : aDigest.mPeers) {
@@ -110,6 +111,15 @@
   return 1 + mPeers.size();
 }
 
+auto peer_table::Demands() const -> std::vector<entry_demand>
+{
+  auto demands = std::vector<entry_demand>();
+  for (const auto& [address, peer] : mPeers) {
+    demands.push_back({ address, peer.mDemand });
+  }
+  return demands;
+}
+
 auto peer_table::IsConfirmedByPeer(std::uint64_t aRevision) const -> bool
 {
   return std::any_of(mPeers.begin(), mPeers.end(), [aRevision](const auto& aEntry) {
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -154,10 +154,10 @@
     }
     mShared.mConnections.Prune(endpoints, now);
     mShared.mQuarantine.RemoveExpired(now);
-    mShared.mEndpointLimits.RemoveExpired(now);
+    mShared.mEndpoints.RateLimits().RemoveExpired(now);
     auto& metrics = mShared.mMetrics;
     metrics.Gauge("bronzering_rate_limited_endpoints")
-      .Set(static_cast<std::int64_t>(mShared.mEndpointLimits.LimitedCount()));
+      .Set(static_cast<std::int64_t>(mShared.mEndpoints.RateLimits().LimitedCount()));
     metrics.Gauge("bronzering_suspected_prompt_parts")
       .Set(static_cast<std::int64_t>(mShared.mQuarantine.SuspectCount(now)));
     metrics.Gauge("bronzering_caller_connections").Set(static_cast<std::int64_t>(mSessions.size()));
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -165,6 +165,7 @@
     mSpentUnits = units;
   }
   mState.mRetryBudgets[mService].OnRequest(mArrived);
+  mState.mDemand.OnEvent(ReadBootClock());
   mRequest = ForwardedRequest(std::move(mRequest), mState.mHeaderNames);
   co_return true;
 }
@@ -318,7 +319,7 @@
     return;
   }
   const auto key = HashEndpointIncarnation(endpoint.mId, endpoint.mIncarnation);
-  if (mState.mEndpointLimits.OnAnswer(key, limit, aAttempt.mStarted, now)) {
+  if (mState.mEndpoints.RateLimits().OnAnswer(key, limit, aAttempt.mStarted, now)) {
     mState.mLog.Write(log_priority::Notable,
                       "rate_limit_changed",
                       { { "endpoint", endpoint.mId },
@@ -628,6 +629,9 @@
     aLine["allowed_us"] = Micros(mDecision->mAllowed);
     aLine["waiting"] = mDecision->mWaiting;
   }
+  if (const auto limited = mState.mEndpoints.RateLimitedCount(mService, ReadBootClock())) {
+    aLine["rate_limited"] = limited;
+  }
   if (mQuarantineVerdict) {
     aLine["suspected_part"] = mMetadata.mSharedParts[*mQuarantineVerdict->mRejectedPart];
     aLine["crashes"] = mQuarantineVerdict->mCrashes;
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <bronzering/base/random_source.h>
+#include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/dispatch_queue.h>
-#include <bronzering/dispatch/endpoint_rate_limiter.h>
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
@@ -42,7 +42,7 @@
     , mLog(aLog)
     , mMetrics(aMetrics)
     , mRandom(mSettings.mSeed)
-    , mEndpoints(mSettings.mAvailabilityZone)
+    , mEndpoints(mSettings.mAvailabilityZone, mSettings.mAddress)
     , mDispatchWaiter(aContext, mEndpoints)
     , mConnections(aContext)
     , mRateLimiter(mSettings.mQuotaTolerance)
@@ -64,7 +64,8 @@
   /// Null until a routing document is known.
   std::shared_ptr<const route_table> mRoutes;
   published_items mItems;
-  endpoint_rate_limiter mEndpointLimits;
+  /// Requests that callers send to this entry.
+  decaying_rate mDemand;
   endpoint_table mEndpoints;
   dispatch_waiter mDispatchWaiter;
   endpoint_connection_pool mConnections;
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -22,10 +22,11 @@
 constexpr auto kIntervalPerPeer = duration(std::chrono::milliseconds(5));
 /// Every how many digests one is full: it carries all totals, learned speeds and known peers.
 constexpr auto kFullDigestEvery = 20U;
-/// Number of digests that repeat changed crash evidence, since datagrams may be lost, and the most
-/// that one digest carries.
-constexpr auto kEvidenceRepeats = 3U;
+/// Number of digests that repeat changed crash evidence or rate limits, since datagrams may be
+/// lost, and the most that one digest carries of each.
+constexpr auto kRepeats = 3U;
 constexpr auto kMaxEvidence = std::size_t{ 48 };
+constexpr auto kMaxRateLimits = std::size_t{ 48 };
 /// A peer that has sent this many digests has been running for at least 4 s.
 constexpr auto kEstablishedSequence = 100U;
 
@@ -83,6 +84,8 @@
         digest->mSender, digest->mIncarnation, digest->mOrganisationUsage, now);
     }
     mState.mQuarantine.Merge(digest->mCrashEvidence, now);
+    auto& rateLimits = mState.mEndpoints.RateLimits();
+    ReportRateLimits(digest->mSender, rateLimits.Merge(digest->mRateLimits, now), now);
     mState.mEndpoints.SetPeerLoads(digest->mSender, digest->mLoads);
     mState.mEndpoints.SetPeerSpeeds(digest->mSpeeds);
     ReportPeerChanges(now);
@@ -97,7 +100,11 @@
 {
   auto timer = boost::asio::steady_timer(mState.mContext);
   while (mSocket.is_open()) {
-    ReportPeerChanges(ReadBootClock());
+    const auto now = ReadBootClock();
+    ReportPeerChanges(now);
+    auto members = mState.mPeers.Demands();
+    members.push_back({ mState.mSettings.mAddress, mState.mDemand.At(now) });
+    mState.mEndpoints.RateLimits().SetMembers(std::move(members), now);
     SendDigest();
     const auto peers = static_cast<duration::rep>(mState.mPeers.LivePeers().size());
     timer.expires_after(std::max(kDigestInterval, kIntervalPerPeer * peers));
@@ -119,6 +126,7 @@
   digest.mIsLeaving = mState.mIsStopping;
   digest.mRevision = mState.mRoutes ? mState.mItems.Revision() : 0;
   digest.mIsSourceStable = mState.mItems.IsSourceStable(ReadBootClock());
+  digest.mDemand = mState.mDemand.At(ReadBootClock());
   digest.mLoads = mState.mEndpoints.OwnLoads();
   digest.mOrganisationUsage = mState.mRateLimiter.Totals();
   // Only full digests carry data that changes slowly, and the unchanged totals, whose last datagram
@@ -129,14 +137,16 @@
   } else {
     digest.mOrganisationUsage = ChangedUsage(std::move(digest.mOrganisationUsage));
   }
-  if (mState.mQuarantine.Changes() != mSentEvidenceChanges) {
-    mSentEvidenceChanges = mState.mQuarantine.Changes();
-    mEvidenceRepeats = kEvidenceRepeats;
-  }
+  UpdateRepeats();
   if (mEvidenceRepeats > 0 || mSequence % kFullDigestEvery == 1) {
     digest.mCrashEvidence = mState.mQuarantine.Evidence(kMaxEvidence, ReadBootClock());
     mEvidenceRepeats -= std::min(mEvidenceRepeats, 1U);
   }
+  if (mRateLimitRepeats > 0 || mSequence % kFullDigestEvery == 1) {
+    digest.mRateLimits =
+      mState.mEndpoints.RateLimits().TakeStatements(kMaxRateLimits, ReadBootClock());
+    mRateLimitRepeats -= std::min(mRateLimitRepeats, 1U);
+  }
   const auto bytes = EncodeDigest(digest);
   for (const auto& target : mState.mPeers.Targets(ReadBootClock())) {
     auto error = boost::system::error_code();
@@ -161,10 +171,50 @@
   return aTotals;
 }
 
+auto peer_channel::UpdateRepeats() -> void
+{
+  if (mState.mQuarantine.Changes() != mSentEvidenceChanges) {
+    mSentEvidenceChanges = mState.mQuarantine.Changes();
+    mEvidenceRepeats = kRepeats;
+  }
+  const auto& rateLimits = mState.mEndpoints.RateLimits();
+  if (rateLimits.Changes() != mSentRateLimitChanges) {
+    mSentRateLimitChanges = rateLimits.Changes();
+    RepeatRateLimits();
+  }
+}
+
+auto peer_channel::RepeatRateLimits() -> void
+{
+  // Digests go through all statements in turn.
+  const auto limited = mState.mEndpoints.RateLimits().LimitedCount();
+  mRateLimitRepeats = kRepeats * static_cast<std::uint32_t>(1 + limited / kMaxRateLimits);
+}
+
+auto peer_channel::ReportRateLimits(const std::string& aPeer,
+                                    const std::vector<rate_limit_statement>& aChanged,
+                                    time_point aNow) -> void
+{
+  for (const auto& statement : aChanged) {
+    const auto& limit = statement.mLimit;
+    mState.mLog.Write(log_priority::Notable,
+                      "rate_limit_changed",
+                      { { "endpoint", mState.mEndpoints.RateLimits().IdOf(statement.mEndpoint) },
+                        { "limit_per_s", limit ? boost::json::value(*limit) : nullptr },
+                        { "age_us", statement.mAge.count() },
+                        { "peer", aPeer } },
+                      aNow);
+  }
+}
+
 auto peer_channel::ReportPeerChanges(time_point aNow) -> void
 {
   for (const auto& change : mState.mPeers.TakeChanges(aNow)) {
-    if (!change.mIsUp) {
+    if (change.mIsUp) {
+      // A peer that has just started knows nothing yet.
+      mEvidenceRepeats = kRepeats;
+      RepeatRateLimits();
+    } else {
       mState.mEndpoints.DropPeer(change.mPeer);
     }
     mState.mLog.Write(log_priority::Notable,
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -35,6 +35,12 @@
   /// Returns the totals that differ from those sent last.
   auto ChangedUsage(std::vector<organisation_usage> aTotals) -> std::vector<organisation_usage>;
   auto ReportPeerChanges(time_point aNow) -> void;
+  auto ReportRateLimits(const std::string& aPeer,
+                        const std::vector<rate_limit_statement>& aChanged,
+                        time_point aNow) -> void;
+  /// Sets how many of the next digests carry crash evidence and statements on rate limits.
+  auto UpdateRepeats() -> void;
+  auto RepeatRateLimits() -> void;
 
   gateway_state& mState;
   std::function<void()> mOnNewerRevision;
@@ -46,6 +52,9 @@
   /// prompt_quarantine::Changes at the last digest, and how many more digests repeat the evidence.
   std::uint64_t mSentEvidenceChanges = 0;
   std::uint32_t mEvidenceRepeats = 0;
+  /// The same for endpoint_rate_limiter::Changes and the statements on rate limits.
+  std::uint64_t mSentRateLimitChanges = 0;
+  std::uint32_t mRateLimitRepeats = 0;
   /// Receive buffer, large enough for any UDP datagram.
   std::array<char, 64UL * 1024> mInput = {};
 };
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace bronzering {
@@ -78,6 +79,15 @@
       evidence.mPart, evidence.mCrash, Clamp<std::uint32_t>(age), evidence.mIsRefuted);
   }
 
+  auto rateLimits = std::vector<peer::EndpointRateLimit>();
+  for (const auto& statement : aDigest.mRateLimits) {
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(statement.mAge).count();
+    rateLimits.emplace_back(statement.mEndpoint,
+                            statement.mLimit.value_or(0),
+                            Clamp<std::uint32_t>(age),
+                            statement.mLimit.has_value());
+  }
+
   // Empty vectors are omitted to keep digests small.
   const auto orNull = [](const auto& aList) { return aList.empty() ? nullptr : &aList; };
   auto builder = flatbuffers::FlatBufferBuilder();
@@ -92,7 +102,9 @@
                                           orNull(peers),
                                           orNull(speeds),
                                           aDigest.mIsSourceStable,
-                                          orNull(crashEvidence)));
+                                          orNull(crashEvidence),
+                                          orNull(rateLimits),
+                                          static_cast<float>(aDigest.mDemand)));
   return Finished(builder);
 }
 
@@ -140,6 +152,19 @@
                                         evidence->is_refuted() });
     }
   }
+  // The numbers come from the network, so those that cannot be a rate are dropped.
+  const auto isRate = [](double aNumber) { return std::isfinite(aNumber) && aNumber >= 0; };
+  digest.mDemand = isRate(message->demand_per_s()) ? message->demand_per_s() : 0;
+  if (message->rate_limits() != nullptr) {
+    for (const auto* statement : *message->rate_limits()) {
+      if (isRate(statement->limit_per_s())) {
+        digest.mRateLimits.push_back(
+          { statement->endpoint(),
+            statement->is_limited() ? std::optional(statement->limit_per_s()) : std::nullopt,
+            std::chrono::milliseconds(statement->age_ms()) });
+      }
+    }
+  }
   return digest;
 }
 
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -18,6 +18,8 @@
   digest.mSpeeds = { { 44, 4ms, 15.5 } };
   digest.mOrganisationUsage = { { 43, 1234.5 } };
   digest.mCrashEvidence = { { 45, 46, 1500ms, true }, { 45, 47, 0ms, false } };
+  digest.mDemand = 12.5;
+  digest.mRateLimits = { { 48, 4.3, 250ms }, { 49, std::nullopt, 0ms } };
   digest.mPeers = { "10.0.0.2" };
   const auto decoded = DecodeDigest(EncodeDigest(digest));
   REQUIRE(decoded);
@@ -39,6 +41,8 @@
   REQUIRE(decoded->mOrganisationUsage.size() == 1);
   CHECK(decoded->mOrganisationUsage[0].mTotal == 1234.5);
   CHECK(decoded->mCrashEvidence == digest.mCrashEvidence);
+  CHECK(decoded->mDemand == 12.5);
+  CHECK(decoded->mRateLimits == digest.mRateLimits);
   CHECK(decoded->mPeers == digest.mPeers);
 }
 
