--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -173,16 +173,25 @@
     mStallTimer.emplace(mSocket->get_executor());
   }
   mStallTimer->expires_after(aTimeout);
-  mStallTimer->async_wait([action = std::move(aAction)](boost::system::error_code aError) {
-    if (!aError) {
+  // Cancelling a timer that has expired does not stop its handler, which is in the queue already.
+  const auto arming = ++*mStallArmings;
+  mStallTimer->async_wait([armings = mStallArmings, arming, action = std::move(aAction)](
+                            boost::system::error_code aError) {
+    if (!aError && *armings == arming) {
       action();
     }
   });
 }
 
-auto endpoint_call::Abort() -> void
+auto endpoint_call::DisarmStallTimer() -> void
 {
+  ++*mStallArmings;
   mStallTimer.reset();
+}
+
+auto endpoint_call::Abort() -> void
+{
+  DisarmStallTimer();
   if (mSocket) {
     AbortSocket(*mSocket);
   }
@@ -190,7 +199,7 @@
 
 auto endpoint_call::Release() -> void
 {
-  mStallTimer.reset();
+  DisarmStallTimer();
   // A connection with bytes after the response cannot be reused: they would be taken for the next
   // response.
   if (mParser->keep_alive() && mInput.size() == 0 && IsOpenAndIdle(*mSocket)) {
--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -14,7 +14,9 @@
 
 #include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -74,6 +76,7 @@
   auto SkipBody() -> boost::asio::awaitable<bool>;
   auto Write(const http_request& aRequest) -> boost::asio::awaitable<bool>;
   auto Release() -> void;
+  auto DisarmStallTimer() -> void;
 
   endpoint_connection_pool& mConnections;
   std::string mEndpoint;
@@ -82,6 +85,9 @@
   std::size_t mMaxPooled;
   std::optional<boost::asio::ip::tcp::socket> mSocket;
   std::optional<boost::asio::steady_timer> mStallTimer;
+  /// Number of times that the stall timer has been armed or disarmed. Shared with its handlers,
+  /// which may run after the call.
+  std::shared_ptr<std::uint64_t> mStallArmings = std::make_shared<std::uint64_t>(0);
   /// Bytes that the parser has not consumed. Bounds what it asks for at once, such as a chunk
   /// header or a trailer.
   boost::beast::flat_buffer mInput{ kMaxInputBytes };
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -330,6 +332,13 @@
                      aHeaders);
 }
 
+auto Pause(std::chrono::milliseconds aTime) -> boost::asio::awaitable<void>
+{
+  auto timer = boost::asio::steady_timer(co_await boost::asio::this_coro::executor);
+  timer.expires_after(aTime);
+  co_await timer.async_wait(kUseTuple);
+}
+
 auto SealedAnswer(const http_request& aRequest, const std::string& aBody) -> std::string
 {
   const auto id = aRequest["Request-Id"];
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -136,6 +137,9 @@
                                const std::string& aHeaders = {},
                                const std::string& aId = "r1") -> std::string;
 
+/// Waits for aTime on the executor of the caller.
+[[nodiscard]] auto Pause(std::chrono::milliseconds aTime) -> boost::asio::awaitable<void>;
+
 /// A complete response to a request, with a seal.
 [[nodiscard]] auto SealedAnswer(const http_request& aRequest, const std::string& aBody)
   -> std::string;
