--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -21,6 +21,8 @@
 /// Maximum bytes of pipelined requests that are buffered while a request is served.
 constexpr auto kMaxPipelineBytes = std::size_t{ 64 } * 1024;
 constexpr auto kPipelineReadBytes = std::size_t{ 4 } * 1024;
+/// Space in the input buffer beside a header. Bounds a chunk header or a trailer.
+constexpr auto kReadBytes = std::size_t{ 64 } * 1024;
 /// Time allowed for the body, in addition to the header timeout.
 constexpr auto kBodyTimeout = duration(std::chrono::seconds(10));
 
@@ -81,6 +83,7 @@
 auto caller_session::ReadRequest() -> boost::asio::awaitable<std::optional<http_request>>
 {
   const auto limits = Limits();
+  mInput.max_size(limits.mMaxHeaderBytes + kMaxPipelineBytes + kReadBytes);
   auto parser = http::request_parser<http::string_body>();
   parser.header_limit(limits.mMaxHeaderBytes);
   parser.body_limit(limits.mMaxBodyBytes);
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -420,6 +420,26 @@
   });
 }
 
+// The gateway kept and parsed again all bytes of a chunk header until the body's timeout.
+TEST_CASE("a caller that sends a chunk header without end is rejected before the timeout",
+          "[entry_gateway]")
+{
+  constexpr auto kSentBytes = std::size_t{ 2 } * 1024 * 1024;
+  auto fixture = gateway_fixture();
+  fixture.Publish(TestDocument(), {});
+  fixture.Run([&]() -> awaitable<void> {
+    auto caller = test_caller(fixture.Context());
+    co_await caller.Connect(fixture.CallerPort());
+    auto text = std::string("POST /once/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n"
+                            "Authorization: Bearer secret\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+    text.resize(kSentBytes, 'x');
+    co_await caller.Send(std::move(text));
+    // The bytes that were not read may reset the connection before the response is read.
+    const auto answer = co_await caller.Read();
+    CHECK((!answer || answer->mStatus == 400));
+  });
+}
+
 TEST_CASE("a caller's disconnect closes the connection to the endpoint", "[entry_gateway]")
 {
   auto fixture = gateway_fixture();
