--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -2,6 +2,7 @@
 
 #include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/dispatch_queue.h>
+#include <bronzering/dispatch/endpoint_incarnation_key.h>
 #include <bronzering/dispatch/endpoint_rate_limiter.h>
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_rate_limiter.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_rate_limiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/endpoint_incarnation_key.h>
 #include <bronzering/dispatch/routing_document.h>
 
 #include <cstddef>
@@ -14,11 +15,6 @@
 
 namespace bronzering {
 
-/// Identifies one incarnation of an endpoint in messages between peers.
-using endpoint_incarnation_key = std::uint64_t;
-[[nodiscard]] auto HashEndpointIncarnation(std::string_view aId, std::uint64_t aIncarnation)
-  -> endpoint_incarnation_key;
-
 /// What an endpoint last said about its rate limit, as one entry passes it on to its peers.
 struct rate_limit_statement
 {
--- a/packages/dispatch/include/bronzering/dispatch/prompt_quarantine.h
+++ b/packages/dispatch/include/bronzering/dispatch/prompt_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/endpoint_incarnation_key.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -17,9 +18,8 @@
 [[nodiscard]] auto HashPromptPart(std::string_view aService, std::string_view aPart)
   -> prompt_part_key;
 
-/// Identifies the crash of one incarnation of an endpoint, the same on all entries.
-using crash_id = std::uint64_t;
-[[nodiscard]] auto HashCrash(std::string_view aEndpoint, std::uint64_t aIncarnation) -> crash_id;
+/// Identifies a crash by the incarnation of the endpoint that it ended.
+using crash_id = endpoint_incarnation_key;
 
 /// A prompt part was in a request that an endpoint had not begun to answer when it crashed.
 struct crash_evidence
--- a/packages/dispatch/src/endpoint_rate_limiter.cpp
+++ b/packages/dispatch/src/endpoint_rate_limiter.cpp
@@ -9,12 +9,6 @@
 
 namespace bronzering {
 
-auto HashEndpointIncarnation(std::string_view aId, std::uint64_t aIncarnation)
-  -> endpoint_incarnation_key
-{
-  return HashText(aId, aIncarnation);
-}
-
 endpoint_rate_limiter::endpoint_rate_limiter(std::string aSelf)
   : mSelf(std::move(aSelf))
   , mMembers{ { mSelf, 0 } }
--- a/packages/dispatch/src/prompt_quarantine.cpp
+++ b/packages/dispatch/src/prompt_quarantine.cpp
@@ -42,11 +42,6 @@
   return CombineHashes(HashText(aService), HashText(aPart));
 }
 
-auto HashCrash(std::string_view aEndpoint, std::uint64_t aIncarnation) -> crash_id
-{
-  return HashText(aEndpoint, aIncarnation);
-}
-
 auto prompt_quarantine::OnCrash(crash_id aCrash,
                                 const std::vector<prompt_part_key>& aParts,
                                 time_point aNow) -> void
--- a/packages/gateway/src/crash_monitor.cpp
+++ b/packages/gateway/src/crash_monitor.cpp
@@ -39,7 +39,7 @@
 auto crash_monitor::OnBrokenAttempt(const endpoint_table::choice& aEndpoint,
                                     std::vector<prompt_part_key> aParts) -> void
 {
-  const auto crash = HashCrash(aEndpoint.mId, aEndpoint.mIncarnation);
+  const auto crash = HashEndpointIncarnation(aEndpoint.mId, aEndpoint.mIncarnation);
   const auto [broken, isFirst] = mBrokenAttempts.try_emplace(crash);
   broken->second.push_back(std::move(aParts));
   if (isFirst) {
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -16,7 +16,8 @@
 namespace bronzering {
 
 /// Exchanges digests with the other entries over UDP several times a second. A digest carries the
-/// outstanding work, the quota usage of the organisations, and the revision of the published items.
+/// outstanding work, the quota usage of the organisations, the revision of the published items, and
+/// from time to time what endpoints have shown: evidence of crashes, rate limits and speeds.
 /// A lost datagram only delays this until a later one. Control thread only.
 class peer_channel
 {
--- a/packages/gateway/tests/crashing_prompt_part_test.cpp
+++ b/packages/gateway/tests/crashing_prompt_part_test.cpp
@@ -1,9 +1,5 @@
 #include "gateway_harness.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -67,10 +63,8 @@
 /// Waits until the gateway has confirmed aCount crashes.
 auto CrashesConfirmed(gateway_fixture& aFixture, std::uint64_t aCount) -> awaitable<void>
 {
-  auto timer = boost::asio::steady_timer(aFixture.Context());
   while (aFixture.Metrics().Counter("bronzering_endpoint_crashes_total").Value() < aCount) {
-    timer.expires_after(5ms);
-    co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    co_await Pause(5ms);
   }
 }
 
--- a/packages/gateway/tests/endpoint_rate_limit_test.cpp
+++ b/packages/gateway/tests/endpoint_rate_limit_test.cpp
@@ -1,9 +1,6 @@
 #include "gateway_harness.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -18,13 +15,6 @@
 
 namespace {
 
-auto Pause(boost::asio::io_context& aContext, std::chrono::milliseconds aTime) -> awaitable<void>
-{
-  auto timer = boost::asio::steady_timer(aContext);
-  timer.expires_after(aTime);
-  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-}
-
 /// Sends aCount requests to the entry at aPort, one after another; returns how many were answered.
 auto AskMany(boost::asio::io_context& aContext, std::uint16_t aPort, int aCount) -> awaitable<int>
 {
@@ -40,13 +30,13 @@
   co_return answered;
 }
 
-/// Runs the context of a fixture from another one.
-auto RunBeside(boost::asio::io_context& aContext, gateway_fixture& aOther) -> awaitable<void>
+/// Runs the context of another fixture from this one.
+auto RunBeside(gateway_fixture& aOther) -> awaitable<void>
 {
   for (;;) {
     aOther.Context().restart();
     aOther.Context().poll();
-    co_await Pause(aContext, 1ms);
+    co_await Pause(1ms);
   }
 }
 
@@ -75,7 +65,7 @@
     const auto test = [&]() -> awaitable<void> {
       while (fixture.Metrics().Gauge("bronzering_live_peers").Value() < 1 ||
              other.Metrics().Gauge("bronzering_live_peers").Value() < 1) {
-        co_await Pause(fixture.Context(), 5ms);
+        co_await Pause(5ms);
       }
       const auto started = std::chrono::steady_clock::now();
       auto [first, second] = co_await (AskMany(fixture.Context(), fixture.CallerPort(), 40) &&
@@ -86,7 +76,7 @@
       CHECK(first > 0);
       CHECK(second > 0);
     };
-    co_await (test() || RunBeside(fixture.Context(), other));
+    co_await (test() || RunBeside(other));
   });
 }
 
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -2,10 +2,6 @@
 
 #include <bronzering/gateway/http_get.h>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 #include <catch2/catch.hpp>
 
 #include <spdlog/fmt/fmt.h>
@@ -38,13 +34,6 @@
                      body);
 }
 
-auto Pause(boost::asio::io_context& aContext, std::chrono::milliseconds aTime) -> awaitable<void>
-{
-  auto timer = boost::asio::steady_timer(aContext);
-  timer.expires_after(aTime);
-  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-}
-
 } // namespace
 
 TEST_CASE(
@@ -99,7 +88,7 @@
     co_await caller.Connect(fixture.CallerPort());
     auto request = RequestText("/once/x");
     co_await caller.Send(std::move(request));
-    co_await Pause(fixture.Context(), 20ms);
+    co_await Pause(20ms);
     fixture.Publish(TestDocument(), { endpoint.Listed() });
     const auto answer = co_await caller.Read();
     REQUIRE(answer);
@@ -415,7 +404,7 @@
     REQUIRE(answer);
     CHECK(answer->mStatus == 502);
     while (endpoint.Disconnects() == 0) {
-      co_await Pause(fixture.Context(), 5ms);
+      co_await Pause(5ms);
     }
   });
 }
@@ -453,11 +442,11 @@
     auto request = RequestText("/once/x");
     co_await caller.Send(std::move(request));
     while (endpoint.Requests().empty()) {
-      co_await Pause(fixture.Context(), 5ms);
+      co_await Pause(5ms);
     }
     caller.Close();
     while (endpoint.Disconnects() == 0) {
-      co_await Pause(fixture.Context(), 5ms);
+      co_await Pause(5ms);
     }
     CHECK(endpoint.Disconnects() == 1);
   });
@@ -573,7 +562,7 @@
       if (text.find("bronzering_items_revision 1\n") != std::string::npos) {
         break;
       }
-      co_await Pause(fixture.Context(), 5ms);
+      co_await Pause(5ms);
     }
     CHECK(other.Metrics().Gauge("bronzering_items_revision").Value() == 1);
     CHECK(other.Metrics().Gauge("bronzering_live_peers").Value() == 1);
