--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -219,7 +219,8 @@
     // A request that reached no endpoint caused no load, so its retry is not taken from the budget.
     const auto isRepeatable = outcome != execution_outcome::MayHaveExecuted || MayRetry();
     const auto isFree = outcome == execution_outcome::NotReached;
-    if (!isRepeatable || mSends >= kMaxSends || !(isFree || TakeRetry())) {
+    const auto isTaken = std::exchange(mIsRetryTaken, false);
+    if (!isRepeatable || mSends >= kMaxSends || !(isFree || isTaken || TakeRetry())) {
       if (mExecutions == 0) {
         co_await Refuse(503, "endpoints declined", mRoute->mObjective);
       } else {
@@ -456,21 +457,37 @@
 
 auto exchange::ArmStallTimer(endpoint_call& aCall, duration aTimeout) -> void
 {
-  aCall.ArmStallTimer(aTimeout, [this, &aCall] {
-    const auto now = ReadBootClock();
-    mState.mEndpoints.OnStall(mId, now);
-    const auto isAborted = MayRetry() && mSends < kMaxSends;
-    mState.mLog.Write(log_priority::Notable,
-                      "endpoint_silent",
-                      { { "request", mMetadata.mId },
-                        { "endpoint", mLastEndpoint },
-                        { "events", mEvents.EventCount() },
-                        { "aborted", isAborted } },
-                      now);
-    if (isAborted) {
-      aCall.Abort();
-    }
-  });
+  aCall.ArmStallTimer(aTimeout, [this, &aCall] { OnStall(aCall); });
+}
+
+auto exchange::OnStall(endpoint_call& aCall) -> void
+{
+  const auto now = ReadBootClock();
+  mState.mEndpoints.OnStall(mId, now);
+  // The endpoint may only be slow, so its answer is given up only for a retry that can be made.
+  const auto mayRetry = MayRetry() && mSends < kMaxSends;
+  mIsRetryTaken = mayRetry && HasOtherEndpoint(now) && TakeRetry();
+  mState.mLog.Write(log_priority::Notable,
+                    "endpoint_silent",
+                    { { "request", mMetadata.mId },
+                      { "endpoint", mLastEndpoint },
+                      { "events", mEvents.EventCount() },
+                      { "aborted", mIsRetryTaken } },
+                    now);
+  if (mIsRetryTaken) {
+    aCall.Abort();
+  } else if (mayRetry) {
+    ArmStallTimer(aCall, kEventStallTimeout);
+  }
+}
+
+auto exchange::HasOtherEndpoint(time_point aNow) const -> bool
+{
+  auto excluded = mTriedEndpoints;
+  excluded.push_back(mLastEndpoint);
+  return mState.mEndpoints
+    .Choose(mService, mMetadata.mEstimatedWork, excluded, slot_requirement::FreeSlotOrQueue, aNow)
+    .has_value();
 }
 
 auto exchange::RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -113,9 +113,12 @@
     -> boost::asio::awaitable<execution_outcome>;
   auto RelayStream(endpoint_call& aCall, attempt_result& aResult)
     -> boost::asio::awaitable<execution_outcome>;
-  /// Unless it is armed again or the attempt ends within aTimeout, reports a stall of the endpoint
-  /// and, if the request may be retried, aborts the attempt.
+  /// Calls OnStall unless it is armed again or the attempt ends within aTimeout.
   auto ArmStallTimer(endpoint_call& aCall, duration aTimeout) -> void;
+  /// Reports a stall of the endpoint, and aborts the attempt if the request can be retried now.
+  auto OnStall(endpoint_call& aCall) -> void;
+  /// Whether an endpoint that has not been tried can take the request.
+  [[nodiscard]] auto HasOtherEndpoint(time_point aNow) const -> bool;
 
   /// Refuses a request with a quarantined part.
   auto RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
@@ -161,6 +164,8 @@
   const route_spec* mRoute = nullptr;
   const organisation_spec* mOrganisation = nullptr;
   std::string mService;
+  /// A retry for the current attempt has been taken from the budget already.
+  bool mIsRetryTaken = false;
   /// The shared parts of the prompt; set at admission.
   std::vector<prompt_part_key> mPartKeys;
   /// Why the request was refused, if a part of its prompt is quarantined.
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -299,6 +299,62 @@
   });
 }
 
+// Streams that could not be resumed, for lack of retries or endpoints, were broken off all the
+// same.
+TEST_CASE("an endpoint that is silent for a while is not cut off without a retry",
+          "[entry_gateway]")
+{
+  const auto hasOther = GENERATE(false, true);
+  auto fixture = gateway_fixture();
+  const auto script = [](const http_request& aRequest) -> reaction {
+    if (aRequest.target() == "/again/error") {
+      auto failure = SealedAnswer(aRequest, "");
+      failure.replace(failure.find("200"), 3, "500");
+      return { std::move(failure), ending::Keep };
+    }
+    auto later = Events(aRequest, 4, 6) + "0\r\n\r\n";
+    later.erase(0, later.find("\r\n\r\n") + 4);
+    return { Events(aRequest, 1, 3), ending::Keep, std::move(later), 1'300ms };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", script);
+  auto second = scripted_endpoint(fixture.Context(), "e2", script);
+  auto endpoints = std::vector{ first.Listed() };
+  if (hasOther) {
+    endpoints.push_back(second.Listed());
+  }
+  fixture.Publish(TestDocument(), std::move(endpoints));
+  fixture.Run([&]() -> awaitable<void> {
+    // With a second endpoint, these requests use up the retry budget.
+    for (auto request = 0; request < 20; ++request) {
+      co_await fixture.Ask(RequestText("/again/error"));
+    }
+    const auto answer = co_await fixture.Ask(RequestText("/resume/x"));
+    REQUIRE(answer);
+    CHECK(answer->mBody.ends_with("id: 6\ndata: e6\n\n"));
+  });
+}
+
+TEST_CASE("a stream of an endpoint that falls silent is resumed at another one", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto runs = 0;
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    if (++runs == 1) {
+      return { Events(aRequest, 1, 3), ending::Hang };
+    }
+    return { Events(aRequest, 4, 6) + "0\r\n\r\n", ending::Keep };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", script);
+  auto second = scripted_endpoint(fixture.Context(), "e2", script);
+  fixture.Publish(TestDocument(), { first.Listed(), second.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    const auto answer = co_await fixture.Ask(RequestText("/resume/x"));
+    REQUIRE(answer);
+    CHECK(answer->mBody.ends_with("id: 6\ndata: e6\n\n"));
+    CHECK(runs == 2);
+  });
+}
+
 TEST_CASE("a broken stream that cannot be resumed does not end like a complete one",
           "[entry_gateway]")
 {
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -58,6 +58,10 @@
     aRequests->push_back(request);
     const auto reaction = aScript(request);
     co_await boost::asio::async_write(aSocket, boost::asio::buffer(reaction.mText), kUseTuple);
+    if (!reaction.mLater.empty()) {
+      co_await Pause(reaction.mSilence);
+      co_await boost::asio::async_write(aSocket, boost::asio::buffer(reaction.mLater), kUseTuple);
+    }
     if (reaction.mEnding == scripted_endpoint::ending::Crash) {
       if (const auto acceptor = aAcceptor.lock()) {
         acceptor->close();
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -44,6 +44,9 @@
   {
     std::string mText;
     ending mEnding = ending::Keep;
+    /// Written after mText and a pause of mSilence.
+    std::string mLater = {};
+    std::chrono::milliseconds mSilence{};
   };
   using script = std::function<reaction(const http_request& aRequest)>;
 
