--- a/packages/dispatch/include/bronzering/dispatch/fleet_rate_limiter.h
+++ b/packages/dispatch/include/bronzering/dispatch/fleet_rate_limiter.h
@@ -22,6 +22,18 @@
   double mTotal = 0;
 };
 
+/// What an entry reports to its peers about its admissions.
+struct usage_report
+{
+  /// Identifies the sender.
+  std::string mSender;
+  /// Identifies one run of the sender.
+  std::uint64_t mIncarnation = 0;
+  /// Whether the report has all totals, and not only those that changed since the last one.
+  bool mIsComplete = false;
+  std::vector<organisation_usage> mTotals;
+};
+
 /// By how much all entries together may exceed a limit. Entries learn of each other's admissions
 /// with a delay; without a tolerance they would reject requests that are within the limit.
 struct quota_tolerance
@@ -57,12 +69,9 @@
   /// Returns the units of a request that did not run.
   auto Refund(std::string_view aOrganisation, double aUnits, time_point aNow) -> void;
 
-  /// Applies the totals reported by a peer. The first report of an incarnation is the baseline and
-  /// is not charged.
-  auto OnPeerUsage(std::string_view aPeer,
-                   std::uint64_t aIncarnation,
-                   const std::vector<organisation_usage>& aTotals,
-                   time_point aNow) -> void;
+  /// Applies the totals reported by a peer. Those that an incarnation reports up to its first
+  /// complete report are the baseline and are not charged: when they were admitted is unknown.
+  auto OnPeerUsage(const usage_report& aReport, time_point aNow) -> void;
   /// Records that a peer has been running for a while. If this entry has just started, the shared
   /// burst may already be used up, so all buckets are emptied.
   auto OnEstablishedPeer(time_point aNow) -> void;
@@ -88,6 +97,8 @@
   struct peer_state
   {
     std::uint64_t mIncarnation = 0;
+    /// A complete report has been received, so a new total has grown from zero since.
+    bool mHasBaseline = false;
     time_point mLastDigest;
     std::unordered_map<std::uint64_t, peer_usage> mOrganisationUsage;
   };
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -33,6 +33,8 @@
   /// Requests per second that the sender's callers send.
   double mDemand = 0;
   std::vector<endpoint_load> mLoads;
+  /// Whether this is a full digest.
+  bool mIsFull = false;
   /// Organisations whose total changed since the last digest; a full digest has all of them.
   std::vector<organisation_usage> mOrganisationUsage;
   /// Only in full digests and for a short time after a change.
--- a/packages/dispatch/src/fleet_rate_limiter.cpp
+++ b/packages/dispatch/src/fleet_rate_limiter.cpp
@@ -86,22 +86,17 @@
   found->second.mOwnTotal -= aUnits;
 }
 
-auto fleet_rate_limiter::OnPeerUsage(std::string_view aPeer,
-                                     std::uint64_t aIncarnation,
-                                     const std::vector<organisation_usage>& aTotals,
-                                     time_point aNow) -> void
+auto fleet_rate_limiter::OnPeerUsage(const usage_report& aReport, time_point aNow) -> void
 {
-  auto& peer = mPeers.try_emplace(std::string(aPeer)).first->second;
-  const auto isNew = peer.mIncarnation != aIncarnation;
-  if (isNew) {
-    peer.mOrganisationUsage.clear();
-    peer.mIncarnation = aIncarnation;
+  auto& peer = mPeers.try_emplace(aReport.mSender).first->second;
+  if (peer.mIncarnation != aReport.mIncarnation) {
+    peer = peer_state{ aReport.mIncarnation, false, aNow, {} };
   }
   peer.mLastDigest = aNow;
-  for (const auto& total : aTotals) {
+  for (const auto& total : aReport.mTotals) {
     const auto [entry, isFirst] = peer.mOrganisationUsage.try_emplace(total.mKey);
     auto& usage = entry->second;
-    const auto previous = isFirst && isNew ? total.mTotal : usage.mTotal;
+    const auto previous = isFirst && !peer.mHasBaseline ? total.mTotal : usage.mTotal;
     const auto admitted = total.mTotal - previous;
 
     // Replace the units assumed since the last report by those that the peer really admitted.
@@ -124,6 +119,7 @@
     usage.mLastReported = aNow;
     usage.mAssumedUnits = 0;
   }
+  peer.mHasBaseline = peer.mHasBaseline || aReport.mIsComplete;
 }
 
 auto fleet_rate_limiter::OnEstablishedPeer(time_point aNow) -> void
--- a/packages/dispatch/tests/fleet_rate_limiter_test.cpp
+++ b/packages/dispatch/tests/fleet_rate_limiter_test.cpp
@@ -22,6 +22,12 @@
   return limiter;
 }
 
+/// A complete report of the peer with the total of the organisation.
+auto Report(std::uint64_t aIncarnation, double aTotal) -> usage_report
+{
+  return { "peer", aIncarnation, true, { { HashText("lamps"), aTotal } } };
+}
+
 /// Spends as many units as are admitted, aUnits at a time and every millisecond until aEnd. Returns
 /// their sum.
 auto SpendAll(fleet_rate_limiter& aLimiter, double aUnits, time_point aFrom, time_point aEnd)
@@ -85,20 +91,42 @@
 TEST_CASE("units admitted by peers count against the same limit", "[fleet_rate_limiter]")
 {
   auto limiter = Limiter();
-  const auto key = HashText("lamps");
-  limiter.OnPeerUsage("peer", 1, { { key, 5000 } }, kStart);
+  limiter.OnPeerUsage(Report(1, 5000), kStart);
   CHECK(limiter.Level("lamps", kStart) == kBurst);
-  limiter.OnPeerUsage("peer", 1, { { key, 5600 } }, kStart);
+  limiter.OnPeerUsage(Report(1, 5600), kStart);
   CHECK(limiter.Level("lamps", kStart) == Approx(kBurst - 600));
 }
 
 TEST_CASE("the totals of a restarted peer start from zero", "[fleet_rate_limiter]")
 {
   auto limiter = Limiter();
-  const auto key = HashText("lamps");
-  limiter.OnPeerUsage("peer", 1, { { key, 5000 } }, kStart);
-  limiter.OnPeerUsage("peer", 2, {}, kStart);
-  limiter.OnPeerUsage("peer", 2, { { key, 300 } }, kStart);
+  limiter.OnPeerUsage(Report(1, 5000), kStart);
+  limiter.OnPeerUsage({ "peer", 2, true, {} }, kStart);
+  limiter.OnPeerUsage(Report(2, 300), kStart);
+  CHECK(limiter.Level("lamps", kStart) == Approx(kBurst - 300));
+}
+
+// A restarted entry charged all that its peers had ever admitted, and refused organisations that
+// were within their limits.
+TEST_CASE("what established peers admitted before an entry started is not charged",
+          "[fleet_rate_limiter]")
+{
+  auto limiter = Limiter();
+  limiter.OnPeerUsage({ "peer", 1, false, {} }, kStart);
+  limiter.OnPeerUsage(Report(1, 5000), kStart);
+  CHECK(limiter.Level("lamps", kStart) == kBurst);
+  limiter.OnPeerUsage(Report(1, 5300), kStart);
+  CHECK(limiter.Level("lamps", kStart) == Approx(kBurst - 300));
+}
+
+TEST_CASE("what an organisation is admitted for the first time at a known peer is charged",
+          "[fleet_rate_limiter]")
+{
+  auto limiter = Limiter();
+  limiter.OnPeerUsage({ "peer", 1, true, {} }, kStart);
+  auto report = Report(1, 300);
+  report.mIsComplete = false;
+  limiter.OnPeerUsage(report, kStart);
   CHECK(limiter.Level("lamps", kStart) == Approx(kBurst - 300));
 }
 
@@ -116,13 +144,12 @@
   "[fleet_rate_limiter]")
 {
   auto limiter = Limiter();
-  const auto key = HashText("lamps");
   auto now = kStart;
   auto total = 0.0;
   for (auto step = 0; step < 100; ++step) {
     now += 40ms;
     total += 20;
-    limiter.OnPeerUsage("peer", 1, { { key, total } }, now);
+    limiter.OnPeerUsage(Report(1, total), now);
   }
   // The peer uses half of the rate. While it is unreachable, this entry may admit the other half.
   const auto partitionStart = now;
@@ -132,18 +159,17 @@
 
   // The peer reports that it admitted nothing meanwhile, so the assumed units are returned.
   const auto before = limiter.Level("lamps", partitionStart + 4s);
-  limiter.OnPeerUsage("peer", 1, { { key, total } }, partitionStart + 4s);
+  limiter.OnPeerUsage(Report(1, total), partitionStart + 4s);
   CHECK(limiter.Level("lamps", partitionStart + 4s) > before + 500);
 }
 
 TEST_CASE("a peer that shut down is not charged", "[fleet_rate_limiter]")
 {
   auto limiter = Limiter();
-  const auto key = HashText("lamps");
   auto now = kStart;
   for (auto step = 1; step <= 50; ++step) {
     now += 40ms;
-    limiter.OnPeerUsage("peer", 1, { { key, step * 20.0 } }, now);
+    limiter.OnPeerUsage(Report(1, step * 20.0), now);
   }
   limiter.OnPeerShutdown("peer");
   const auto level = limiter.Level("lamps", now);
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -81,7 +81,8 @@
       mState.mRateLimiter.OnPeerShutdown(digest->mSender);
     } else {
       mState.mRateLimiter.OnPeerUsage(
-        digest->mSender, digest->mIncarnation, digest->mOrganisationUsage, now);
+        { digest->mSender, digest->mIncarnation, digest->mIsFull, digest->mOrganisationUsage },
+        now);
     }
     mState.mQuarantine.Merge(digest->mCrashEvidence, now);
     auto& rateLimits = mState.mEndpoints.RateLimits();
@@ -131,18 +132,19 @@
   digest.mOrganisationUsage = mState.mRateLimiter.Totals();
   // Only full digests carry data that changes slowly, and the unchanged totals, whose last datagram
   // may have been lost.
-  if (mSequence % kFullDigestEvery == 1) {
+  digest.mIsFull = mSequence % kFullDigestEvery == 1;
+  if (digest.mIsFull) {
     digest.mSpeeds = mState.mEndpoints.OwnSpeeds();
     digest.mPeers = mState.mPeers.LivePeers();
   } else {
     digest.mOrganisationUsage = ChangedUsage(std::move(digest.mOrganisationUsage));
   }
   UpdateRepeats();
-  if (mEvidenceRepeats > 0 || mSequence % kFullDigestEvery == 1) {
+  if (mEvidenceRepeats > 0 || digest.mIsFull) {
     digest.mCrashEvidence = mState.mQuarantine.Evidence(kMaxEvidence, ReadBootClock());
     mEvidenceRepeats -= std::min(mEvidenceRepeats, 1U);
   }
-  if (mRateLimitRepeats > 0 || mSequence % kFullDigestEvery == 1) {
+  if (mRateLimitRepeats > 0 || digest.mIsFull) {
     digest.mRateLimits =
       mState.mEndpoints.RateLimits().TakeStatements(kMaxRateLimits, ReadBootClock());
     mRateLimitRepeats -= std::min(mRateLimitRepeats, 1U);
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -104,7 +104,8 @@
                                           aDigest.mIsSourceStable,
                                           orNull(crashEvidence),
                                           orNull(rateLimits),
-                                          static_cast<float>(aDigest.mDemand)));
+                                          static_cast<float>(aDigest.mDemand),
+                                          aDigest.mIsFull));
   return Finished(builder);
 }
 
@@ -121,6 +122,7 @@
   digest.mIsLeaving = message->is_leaving();
   digest.mRevision = message->revision();
   digest.mIsSourceStable = message->is_settled();
+  digest.mIsFull = message->is_full();
   if (message->loads() != nullptr) {
     for (const auto* load : *message->loads()) {
       digest.mLoads.push_back(
