--- a/packages/dispatch/include/bronzering/dispatch/fleet_rate_limiter.h
+++ b/packages/dispatch/include/bronzering/dispatch/fleet_rate_limiter.h
@@ -31,6 +31,9 @@
   std::uint64_t mIncarnation = 0;
   /// Whether the report has all totals, and not only those that changed since the last one.
   bool mIsComplete = false;
+  /// Whether the sender has been running for several seconds. The totals of others were all
+  /// admitted a short time ago.
+  bool mIsEstablished = false;
   std::vector<organisation_usage> mTotals;
 };
 
@@ -69,8 +72,9 @@
   /// Returns the units of a request that did not run.
   auto Refund(std::string_view aOrganisation, double aUnits, time_point aNow) -> void;
 
-  /// Applies the totals reported by a peer. Those that an incarnation reports up to its first
-  /// complete report are the baseline and are not charged: when they were admitted is unknown.
+  /// Applies the totals reported by a peer. Those that an established peer reports up to its first
+  /// complete report are the baseline and are not charged: when they were admitted is unknown. For
+  /// a peer that has just started they empty the bucket at most.
   auto OnPeerUsage(const usage_report& aReport, time_point aNow) -> void;
   /// Records that a peer has been running for a while. If this entry has just started, the shared
   /// burst may already be used up, so all buckets are emptied.
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -59,6 +59,9 @@
   /// Time after which an address that never sent a digest is dropped, unless it is a seed.
   static constexpr auto kCandidateTimeout = std::chrono::seconds(6);
 
+  /// Bounds the datagrams that a peer's list causes at once.
+  static constexpr std::size_t kMaxNewCandidates = 64;
+
   struct change
   {
     std::string mPeer;
@@ -73,8 +76,8 @@
   [[nodiscard]] auto OnDigest(const peer_digest& aDigest, time_point aNow) -> bool;
   /// Updates timeouts and returns the peers that became live or timed out since the last call.
   [[nodiscard]] auto TakeChanges(time_point aNow) -> std::vector<change>;
-  /// Addresses to send digests to: all live peers, and one other known address per call,
-  /// round-robin.
+  /// Addresses to send digests to: all live peers, those that peers have listed since the last
+  /// call, at most kMaxNewCandidates, and one other known address, round-robin.
   [[nodiscard]] auto Targets(time_point aNow) -> std::vector<std::string>;
   [[nodiscard]] auto LivePeers() const -> std::vector<std::string>;
   /// Number of entries: this one, live peers, and timed-out peers that may still run.
@@ -98,13 +101,18 @@
     double mDemand = 0;
     time_point mLastDigest;
   };
+  /// An address listed by a peer.
+  struct candidate
+  {
+    time_point mListed;
+    bool mIsContacted = false;
+  };
 
   std::string mSelf;
   std::vector<std::string> mSeeds;
   std::map<std::string, peer_state, std::less<>> mPeers;
-  /// Addresses listed by peers that have not sent a digest yet, with the time they were first
-  /// listed.
-  std::map<std::string, time_point, std::less<>> mCandidates;
+  /// Addresses listed by peers that have not sent a digest yet.
+  std::map<std::string, candidate, std::less<>> mCandidates;
   std::vector<change> mChanges;
   std::size_t mNextCandidate = 0;
 };
--- a/packages/dispatch/src/fleet_rate_limiter.cpp
+++ b/packages/dispatch/src/fleet_rate_limiter.cpp
@@ -96,14 +96,20 @@
   for (const auto& total : aReport.mTotals) {
     const auto [entry, isFirst] = peer.mOrganisationUsage.try_emplace(total.mKey);
     auto& usage = entry->second;
-    const auto previous = isFirst && !peer.mHasBaseline ? total.mTotal : usage.mTotal;
+    const auto isUnknown = isFirst && !peer.mHasBaseline;
+    const auto previous = isUnknown && aReport.mIsEstablished ? total.mTotal : usage.mTotal;
     const auto admitted = total.mTotal - previous;
 
     // Replace the units assumed since the last report by those that the peer really admitted.
     if (const auto found = mBuckets.find(total.mKey); found != mBuckets.end()) {
-      Refill(total.mKey, found->second, aNow);
-      found->second.mLevel =
-        std::min(found->second.mBurst, found->second.mLevel - admitted + usage.mAssumedUnits);
+      auto& own = found->second;
+      Refill(total.mKey, own, aNow);
+      auto level = own.mLevel - admitted + usage.mAssumedUnits;
+      if (isUnknown) {
+        // Units from before the first report leave no debt, since part of them has been refilled.
+        level = std::max(level, std::min(own.mLevel, 0.0));
+      }
+      own.mLevel = std::min(own.mBurst, level);
     }
     const auto elapsed =
       isFirst ? kRateWindow : std::max<duration>(aNow - usage.mLastReported, duration(1));
--- a/packages/dispatch/src/peer_table.cpp
+++ b/packages/dispatch/src/peer_table.cpp
@@ -45,7 +45,7 @@
   mCandidates.erase(aDigest.mSender);
   for (const auto& address : aDigest.mPeers) {
     if (address != mSelf && !mPeers.contains(address)) {
-      mCandidates.try_emplace(address, aNow);
+      mCandidates.try_emplace(address, candidate{ aNow, false });
     }
   }
   return true;
@@ -64,7 +64,7 @@
     next = isRemoved ? mPeers.erase(next) : std::next(next);
   }
   std::erase_if(mCandidates, [aNow](const auto& aCandidate) {
-    return aNow - aCandidate.second > kCandidateTimeout;
+    return aNow - aCandidate.second.mListed > kCandidateTimeout;
   });
   return std::exchange(mChanges, {});
 }
@@ -73,6 +73,16 @@
 {
   auto targets = LivePeers();
 
+  // Entries that start together have to find each other before they share limits.
+  auto contacted = std::size_t{ 0 };
+  for (auto& [address, listed] : mCandidates) {
+    if (!listed.mIsContacted && contacted < kMaxNewCandidates) {
+      listed.mIsContacted = true;
+      targets.push_back(address);
+      ++contacted;
+    }
+  }
+
   // Each round also tries one address that sends no digests: an unknown seed, a peer that timed
   // out, or an address listed by a peer.
   auto candidates = std::vector<std::string>();
@@ -86,7 +96,7 @@
       candidates.push_back(address);
     }
   }
-  for (const auto& [address, since] : mCandidates) {
+  for (const auto& [address, listed] : mCandidates) {
     candidates.push_back(address);
   }
   if (!candidates.empty()) {
--- a/packages/dispatch/tests/fleet_rate_limiter_test.cpp
+++ b/packages/dispatch/tests/fleet_rate_limiter_test.cpp
@@ -22,10 +22,10 @@
   return limiter;
 }
 
-/// A complete report of the peer with the total of the organisation.
+/// A complete report of an established peer with the total of the organisation.
 auto Report(std::uint64_t aIncarnation, double aTotal) -> usage_report
 {
-  return { "peer", aIncarnation, true, { { HashText("lamps"), aTotal } } };
+  return { "peer", aIncarnation, true, true, { { HashText("lamps"), aTotal } } };
 }
 
 /// Spends as many units as are admitted, aUnits at a time and every millisecond until aEnd. Returns
@@ -101,7 +101,7 @@
 {
   auto limiter = Limiter();
   limiter.OnPeerUsage(Report(1, 5000), kStart);
-  limiter.OnPeerUsage({ "peer", 2, true, {} }, kStart);
+  limiter.OnPeerUsage({ "peer", 2, true, true, {} }, kStart);
   limiter.OnPeerUsage(Report(2, 300), kStart);
   CHECK(limiter.Level("lamps", kStart) == Approx(kBurst - 300));
 }
@@ -112,7 +112,7 @@
           "[fleet_rate_limiter]")
 {
   auto limiter = Limiter();
-  limiter.OnPeerUsage({ "peer", 1, false, {} }, kStart);
+  limiter.OnPeerUsage({ "peer", 1, false, true, {} }, kStart);
   limiter.OnPeerUsage(Report(1, 5000), kStart);
   CHECK(limiter.Level("lamps", kStart) == kBurst);
   limiter.OnPeerUsage(Report(1, 5300), kStart);
@@ -123,13 +123,30 @@
           "[fleet_rate_limiter]")
 {
   auto limiter = Limiter();
-  limiter.OnPeerUsage({ "peer", 1, true, {} }, kStart);
+  limiter.OnPeerUsage({ "peer", 1, true, true, {} }, kStart);
   auto report = Report(1, 300);
   report.mIsComplete = false;
   limiter.OnPeerUsage(report, kStart);
   CHECK(limiter.Level("lamps", kStart) == Approx(kBurst - 300));
 }
 
+// Entries that started together granted the burst once each before they heard of each other.
+TEST_CASE("what peers admitted since they started together with an entry is charged",
+          "[fleet_rate_limiter]")
+{
+  auto limiter = Limiter();
+  auto report = Report(1, 300);
+  report.mIsEstablished = false;
+  limiter.OnPeerUsage(report, kStart);
+  CHECK(limiter.Level("lamps", kStart) == Approx(kBurst - 300));
+
+  // Part of it was refilled meanwhile, so it leaves no debt.
+  report.mSender = "other";
+  report.mTotals[0].mTotal = 5000;
+  limiter.OnPeerUsage(report, kStart);
+  CHECK(limiter.Level("lamps", kStart) == Approx(0));
+}
+
 TEST_CASE("a refund returns the units of a request that did not run", "[fleet_rate_limiter]")
 {
   auto limiter = Limiter();
--- a/packages/dispatch/tests/peer_table_test.cpp
+++ b/packages/dispatch/tests/peer_table_test.cpp
@@ -42,6 +42,23 @@
   CHECK(!Contains(targets, "10.0.0.1"));
 }
 
+// Entries that start together granted limits on their own until they knew each other.
+TEST_CASE("all entries that a peer lists are contacted at once", "[peer_table]")
+{
+  auto table = peer_table("10.0.0.1");
+  auto digest = Digest("10.0.0.2", 1, 1);
+  for (auto host = 3; host < 30; ++host) {
+    digest.mPeers.push_back("10.0.0." + std::to_string(host));
+  }
+  REQUIRE(table.OnDigest(digest, kStart));
+  const auto targets = table.Targets(kStart);
+  for (const auto& address : digest.mPeers) {
+    CHECK(Contains(targets, address));
+  }
+  // Those that do not answer are tried again one by one.
+  CHECK(table.Targets(kStart).size() == 2);
+}
+
 TEST_CASE("outdated, duplicate and own digests are ignored", "[peer_table]")
 {
   auto table = peer_table("10.0.0.1");
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -22,9 +22,10 @@
 constexpr auto kIntervalPerPeer = duration(std::chrono::milliseconds(5));
 /// Every how many digests one is full: it carries all totals, learned speeds and known peers.
 constexpr auto kFullDigestEvery = 20U;
-/// Number of digests that repeat changed crash evidence or rate limits, since datagrams may be
-/// lost, and the most that one digest carries of each.
+/// Number of digests that repeat changed crash evidence or rate limits, and of full digests for a
+/// new peer, since datagrams may be lost.
 constexpr auto kRepeats = 3U;
+/// Maximum numbers of rows of crash evidence and statements on rate limits in one digest.
 constexpr auto kMaxEvidence = std::size_t{ 48 };
 constexpr auto kMaxRateLimits = std::size_t{ 48 };
 /// A peer that has sent this many digests has been running for at least 4 s.
@@ -74,15 +75,19 @@
     if (!digest || !mState.mPeers.OnDigest(*digest, now)) {
       continue;
     }
-    if (digest->mSequence > kEstablishedSequence) {
+    const auto isEstablished = digest->mSequence > kEstablishedSequence;
+    if (isEstablished) {
       mState.mRateLimiter.OnEstablishedPeer(now);
     }
     if (digest->mIsLeaving) {
       mState.mRateLimiter.OnPeerShutdown(digest->mSender);
     } else {
-      mState.mRateLimiter.OnPeerUsage(
-        { digest->mSender, digest->mIncarnation, digest->mIsFull, digest->mOrganisationUsage },
-        now);
+      mState.mRateLimiter.OnPeerUsage({ digest->mSender,
+                                        digest->mIncarnation,
+                                        digest->mIsFull,
+                                        isEstablished,
+                                        digest->mOrganisationUsage },
+                                      now);
     }
     mState.mQuarantine.Merge(digest->mCrashEvidence, now);
     auto& rateLimits = mState.mEndpoints.RateLimits();
@@ -132,7 +137,8 @@
   digest.mOrganisationUsage = mState.mRateLimiter.Totals();
   // Only full digests carry data that changes slowly, and the unchanged totals, whose last datagram
   // may have been lost.
-  digest.mIsFull = mSequence % kFullDigestEvery == 1;
+  digest.mIsFull = mSequence % kFullDigestEvery == 1 || mFullRepeats > 0;
+  mFullRepeats -= std::min(mFullRepeats, 1U);
   if (digest.mIsFull) {
     digest.mSpeeds = mState.mEndpoints.OwnSpeeds();
     digest.mPeers = mState.mPeers.LivePeers();
@@ -214,7 +220,7 @@
   for (const auto& change : mState.mPeers.TakeChanges(aNow)) {
     if (change.mIsUp) {
       // A peer that has just started knows nothing yet.
-      mEvidenceRepeats = kRepeats;
+      mFullRepeats = kRepeats;
       RepeatRateLimits();
     } else {
       mState.mEndpoints.DropPeer(change.mPeer);
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -50,6 +50,8 @@
   std::uint64_t mSequence = 0;
   /// The totals sent last, by the organisation's key.
   std::unordered_map<std::uint64_t, double> mSentTotals;
+  /// How many of the next digests are full whatever their sequence.
+  std::uint32_t mFullRepeats = 0;
   /// prompt_quarantine::Changes at the last digest, and how many more digests repeat the evidence.
   std::uint64_t mSentEvidenceChanges = 0;
   std::uint32_t mEvidenceRepeats = 0;
