--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/beast/http/status.hpp>
 #include <boost/json/serialize.hpp>
-#include <boost/json/value_from.hpp>
 
 #include <spdlog/fmt/fmt.h>
 
@@ -53,11 +52,6 @@
 constexpr auto kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 constexpr auto kMaxEventBytes = std::size_t{ 1 } * 1024 * 1024;
 
-auto Micros(duration aDuration) -> std::int64_t
-{
-  return aDuration.count();
-}
-
 } // namespace
 
 exchange::exchange(gateway_state& aState, http_request aRequest, response_writer& aWriter)
@@ -196,15 +190,7 @@
     }
 
     const auto endpoint = *decision.mEndpoint;
-    mState.mLog.Write(log_priority::Routine,
-                      "dispatched",
-                      { { "request", mMetadata.mId },
-                        { "endpoint", endpoint.mId },
-                        { "expected_us", Micros(decision.mExpected) },
-                        { "allowed_us", Micros(decision.mAllowed) },
-                        { "waiting", decision.mWaiting },
-                        { "send", mSends + 1 } },
-                      ReadBootClock());
+    LogDispatch(decision);
     auto current = attempt{ endpoint, ReadBootClock(), 0, {} };
     const auto outcome = co_await SendOnce(current, decision.mExpected);
     if (outcome == execution_outcome::Done) {
@@ -330,28 +316,6 @@
   }
 }
 
-auto exchange::LogFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void
-{
-  const auto now = ReadBootClock();
-  auto line =
-    boost::json::object{ { "request", mMetadata.mId },
-                         { "endpoint", aAttempt.mEndpoint.mId },
-                         { "outcome", kExecutionOutcomeNames.NameOf(aOutcome) },
-                         { "send", mSends },
-                         { "attempt_us", Micros(now - aAttempt.mStarted) },
-                         { "events", aAttempt.mEvents },
-                         { "shared_parts", boost::json::value_from(mMetadata.mSharedParts) } };
-  if (aAttempt.mReadError) {
-    line["read_error"] = aAttempt.mReadError.message();
-  }
-  mState.mLog.Write(log_priority::Notable, "attempt_failed", std::move(line), now);
-  mState.mMetrics
-    .Counter("bronzering_attempt_failures_total",
-             fmt::format(
-               "service=\"{}\",outcome=\"{}\"", mService, kExecutionOutcomeNames.NameOf(aOutcome)))
-    .Add();
-}
-
 auto exchange::RelayBuffered(endpoint_call& aCall, attempt_result& aResult)
   -> boost::asio::awaitable<execution_outcome>
 {
@@ -635,91 +599,4 @@
   return ticket;
 }
 
-auto exchange::AddDecisionInputs(boost::json::object& aLine) const -> void
-{
-  aLine["retry_after_us"] = Micros(mRetryAfter);
-  aLine["revision"] = mState.mItems.Revision();
-  aLine["source_reachable"] = mState.mItems.IsSourceReachable();
-  aLine["live_peers"] = mState.mPeers.LivePeers().size();
-  if (mDecision) {
-    aLine["expected_us"] = Micros(mDecision->mExpected);
-    aLine["allowed_us"] = Micros(mDecision->mAllowed);
-    aLine["waiting"] = mDecision->mWaiting;
-  }
-  if (const auto limited = mState.mEndpoints.RateLimitedCount(mService, ReadBootClock())) {
-    aLine["rate_limited"] = limited;
-  }
-  if (mQuarantineVerdict) {
-    aLine["suspected_part"] = mMetadata.mSharedParts[*mQuarantineVerdict->mRejectedPart];
-    aLine["crashes"] = mQuarantineVerdict->mCrashes;
-  }
-  if (mSpentUnits > 0 || mRefusedUnits > 0) {
-    aLine["units"] = std::max(mSpentUnits, mRefusedUnits);
-    aLine["limit_level"] = mState.mRateLimiter.Level(mOrganisation->mName, ReadBootClock());
-  }
-}
-
-auto exchange::Finish(exchange_end aEnd, unsigned aStatus, std::string_view aReason) -> void
-{
-  mIsFinished = true;
-  const auto now = ReadBootClock();
-  const auto end = kExchangeEndNames.NameOf(aEnd);
-  auto line = boost::json::object{ { "request", mMetadata.mId },
-                                   { "outcome", end },
-                                   { "status", aStatus },
-                                   { "total_us", Micros(now - mArrived) } };
-  if (!aReason.empty()) {
-    line["reason"] = aReason;
-  }
-  if (mRoute != nullptr) {
-    line["route"] = mRoute->mName;
-    line["priority"] = mRank.mRoute;
-    line["configuration"] = mRoutes->Document().mVersion;
-    line["left_us"] = Micros(mDeadline - now);
-    line["prompt_tokens"] = mMetadata.mEstimatedWork.mPromptTokens;
-    line["output_tokens"] = mMetadata.mEstimatedWork.mOutputTokens;
-  }
-  if (!mMetadata.mSharedParts.empty()) {
-    line["shared_parts"] = boost::json::value_from(mMetadata.mSharedParts);
-  }
-  if (mOrganisation != nullptr) {
-    line["organisation"] = mOrganisation->mName;
-  }
-  if (mSends > 0) {
-    line["service"] = mService;
-    line["endpoint"] = mLastEndpoint;
-    line["sends"] = mSends;
-    line["events"] = mEvents.EventCount();
-  }
-  if (aEnd == exchange_end::Refused || aEnd == exchange_end::Failed) {
-    AddDecisionInputs(line);
-  }
-  if (mFirstSent) {
-    line["sent_us"] = Micros(*mFirstSent - mArrived);
-  }
-  if (mFirstEvent) {
-    line["first_us"] = Micros(*mFirstEvent - mArrived);
-  }
-  if (mLongestEventGap > duration::zero()) {
-    line["longest_pause_us"] = Micros(mLongestEventGap);
-  }
-  mState.mLog.Write(aEnd == exchange_end::Answered ? log_priority::Routine : log_priority::Notable,
-                    "request_ended",
-                    std::move(line),
-                    now);
-
-  const auto labels =
-    fmt::format("service=\"{}\",priority=\"{}\",outcome=\"{}\"", mService, mRank.mRoute, end);
-  mState.mMetrics.Histogram("bronzering_request_seconds", labels)
-    .Observe(ToSeconds(now - mArrived));
-  if (mFirstSent) {
-    mState.mMetrics.Histogram("bronzering_dispatch_seconds", labels)
-      .Observe(ToSeconds(*mFirstSent - mArrived));
-  }
-  if (mFirstEvent) {
-    mState.mMetrics.Histogram("bronzering_first_event_seconds", labels)
-      .Observe(ToSeconds(*mFirstEvent - mArrived));
-  }
-}
-
 } // namespace bronzering
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -108,6 +108,8 @@
                 attempt_result& aResult) -> boost::asio::awaitable<execution_outcome>;
   /// Records the rate limit that the endpoint names in its answer.
   auto RecordRateLimit(const endpoint_call& aCall, const attempt& aAttempt) -> void;
+  /// Precondition: aDecision names an endpoint.
+  auto LogDispatch(const dispatch_decision& aDecision) -> void;
   auto LogFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void;
   auto RelayBuffered(endpoint_call& aCall, attempt_result& aResult)
     -> boost::asio::awaitable<execution_outcome>;
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -354,4 +354,23 @@
     aBody);
 }
 
+auto CompleteAnswer(const http_request& aRequest) -> scripted_endpoint::reaction
+{
+  return { SealedAnswer(aRequest, "whole"), scripted_endpoint::ending::Keep };
+}
+
+auto Events(const http_request& aRequest, int aFirst, int aLast) -> std::string
+{
+  auto body = std::string();
+  for (auto event = aFirst; event <= aLast; ++event) {
+    body += fmt::format("id: {}\ndata: e{}\n\n", event, event);
+  }
+  const auto id = aRequest["Request-Id"];
+  return fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: {}\r\nSeal: s\r\nContent-Type: "
+                     "text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n",
+                     std::string_view(id.data(), id.size()),
+                     body.size(),
+                     body);
+}
+
 } // namespace bronzering
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -147,4 +147,10 @@
 [[nodiscard]] auto SealedAnswer(const http_request& aRequest, const std::string& aBody)
   -> std::string;
 
+/// SealedAnswer with a body, on a connection that stays open.
+[[nodiscard]] auto CompleteAnswer(const http_request& aRequest) -> scripted_endpoint::reaction;
+
+/// The header of a streamed response and the events from aFirst to aLast, as one chunk.
+[[nodiscard]] auto Events(const http_request& aRequest, int aFirst, int aLast) -> std::string;
+
 } // namespace bronzering
--- a/packages/gateway/tests/request_log_test.cpp
+++ b/packages/gateway/tests/request_log_test.cpp
@@ -81,11 +81,6 @@
   }
 }
 
-auto CompleteAnswer(const http_request& aRequest) -> reaction
-{
-  return { SealedAnswer(aRequest, "whole"), ending::Keep };
-}
-
 using ends_by_request = std::map<std::string, std::vector<request_end>>;
 
 } // namespace
