Log why and how late an entry loses the store, and versions it lacks

Added: - platform_lost names the reason and the time since the last answer, bronzering_source_failures_total counts by reason - items_outdated: items of the store that were ignored - digests carry the version of the configuration in force, and configuration_late says that an entry lacks one that a peer had a second ago - gauges of that version and of the age of the store's last answer

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bronzering/dispatch/configuration_lag.h>
 #include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/dispatch_queue.h>
 #include <bronzering/dispatch/endpoint_incarnation_key.h>
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -27,6 +27,8 @@
   bool mIsLeaving = false;
   /// Revision of the sender's copy of the published items.
   std::uint64_t mRevision = 0;
+  /// Version of the configuration in force at the sender; 0 while it has none.
+  std::uint64_t mConfigurationVersion = 0;
   /// The sender has been connected to the source of the items without interruption for at least
   /// the grace period for expired items.
   bool mIsSourceStable = false;
--- a/packages/gateway/include/bronzering/gateway.h
+++ b/packages/gateway/include/bronzering/gateway.h
@@ -4,3 +4,4 @@
 #include <bronzering/gateway/gateway_settings.h>
 #include <bronzering/gateway/header_names.h>
 #include <bronzering/gateway/http_get.h>
+#include <bronzering/gateway/source_failure.h>
--- a/packages/gateway/include/bronzering/gateway/entry_gateway.h
+++ b/packages/gateway/include/bronzering/gateway/entry_gateway.h
@@ -6,6 +6,7 @@
 #include <bronzering/dispatch/routing_document.h>
 #include <bronzering/gateway/gateway_settings.h>
 #include <bronzering/gateway/header_names.h>
+#include <bronzering/gateway/source_failure.h>
 #include <bronzering/log/event_log.h>
 
 #include <boost/asio/io_context.hpp>
@@ -67,7 +68,9 @@
   };
   /// Applies changes from the source, which include all changes up to aRevision.
   auto OnChanges(std::vector<item_change> aChanges, std::uint64_t aRevision) -> void;
-  auto OnSourceReachable(bool aIsReachable) -> void;
+  /// Records that the source answered a call, or why a call to it failed.
+  auto OnSourceAnswer() -> void;
+  auto OnSourceFailure(source_failure aFailure) -> void;
 
   /// Replaces the seed addresses after a settings change.
   auto SetSeeds(std::vector<std::string> aSeeds) -> void;
--- a/packages/gateway/include/bronzering/gateway/http_get.h
+++ b/packages/gateway/include/bronzering/gateway/http_get.h
@@ -33,6 +33,8 @@
   /// Empty when no complete response was received within aTimeout.
   auto Get(std::string aTarget, duration aTimeout)
     -> boost::asio::awaitable<std::optional<http_answer>>;
+  /// Whether the last request ended because its timeout expired.
+  [[nodiscard]] auto HasTimedOut() const -> bool { return mHasTimedOut; }
   [[nodiscard]] auto Address() const -> const std::string& { return mAddress; }
 
 private:
@@ -43,6 +45,7 @@
   std::size_t mMaxBodyBytes;
   boost::asio::ip::tcp::socket mSocket;
   boost::beast::flat_buffer mBuffer;
+  bool mHasTimedOut = false;
 };
 
 } // namespace bronzering
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -66,6 +66,11 @@
   auto OnNewerPeerItems() -> void;
   auto AdoptDocument() -> void;
   auto AdoptEndpoints() -> void;
+  /// Logs that items of the source were ignored because the copy has later ones.
+  auto LogOutdatedItems(std::uint64_t aRevision,
+                        std::string_view aWhat,
+                        std::size_t aCount,
+                        time_point aNow) -> void;
   [[nodiscard]] auto HandleReadinessRequest(std::string_view aTarget) const -> http_server_response;
   [[nodiscard]] auto HandleOperatorRequest(std::string_view aTarget) const -> http_server_response;
 
@@ -167,6 +172,10 @@
       .Set(static_cast<std::int64_t>(mShared.mPeers.LivePeers().size()));
     metrics.Gauge("bronzering_items_revision")
       .Set(static_cast<std::int64_t>(mShared.mItems.Revision()));
+    metrics.Gauge("bronzering_configuration_version")
+      .Set(static_cast<std::int64_t>(mShared.ConfigurationVersion()));
+    metrics.Gauge("bronzering_source_answer_age_ms")
+      .Set(std::chrono::floor<std::chrono::milliseconds>(mShared.SinceSourceAnswer(now)).count());
   }
 }
 
@@ -248,7 +257,7 @@
       return std::nullopt;
     },
     [] { return std::optional<routing_document>(); });
-  const auto current = mShared.mRoutes ? mShared.mRoutes->Document().mVersion : 0;
+  const auto current = mShared.ConfigurationVersion();
   if (!document || document->mVersion <= current) {
     return;
   }
@@ -267,6 +276,7 @@
                      "configuration_adopted",
                      { { "version", table->Document().mVersion },
                        { "previous", current },
+                       { "revision", mShared.mItems.Revision() },
                        { "routes", table->Document().mRoutes.size() },
                        { "organisations", table->Document().mOrganisations.size() } },
                      now);
@@ -315,6 +325,20 @@
   mShared.mDispatchWaiter.Wake();
 }
 
+auto entry_gateway::state::LogOutdatedItems(std::uint64_t aRevision,
+                                            std::string_view aWhat,
+                                            std::size_t aCount,
+                                            time_point aNow) -> void
+{
+  mShared.mLog.Write(log_priority::Notable,
+                     "items_outdated",
+                     { { "kind", aWhat },
+                       { "ignored", aCount },
+                       { "revision", aRevision },
+                       { "held", mShared.mItems.Revision() } },
+                     aNow);
+}
+
 auto entry_gateway::state::HandleReadinessRequest(std::string_view /*aTarget*/) const
   -> http_server_response
 {
@@ -358,23 +382,29 @@
 
 auto entry_gateway::OnSnapshot(published_snapshot aSnapshot) -> void
 {
-  if (mState->mShared.mItems.ApplySnapshot(
-        std::move(aSnapshot), item_origin::Source, ReadBootClock())) {
-    mState->AdoptDocument();
-    mState->AdoptEndpoints();
+  const auto now = ReadBootClock();
+  const auto sourceRevision = aSnapshot.mRevision;
+  if (!mState->mShared.mItems.ApplySnapshot(std::move(aSnapshot), item_origin::Source, now)) {
+    mState->LogOutdatedItems(sourceRevision, "snapshot", 1, now);
+    return;
   }
+  mState->AdoptDocument();
+  mState->AdoptEndpoints();
 }
 
 auto entry_gateway::OnChanges(std::vector<item_change> aChanges, std::uint64_t aRevision) -> void
 {
   auto& items = mState->mShared.mItems;
   const auto now = ReadBootClock();
+  auto outdated = std::size_t{ 0 };
   for (auto& change : aChanges) {
-    if (change.mIsRemoval) {
-      items.ApplyRemoval(change.mItem.mKey, change.mItem.mRevision, now);
-    } else {
-      items.ApplyWrite(std::move(change.mItem), now);
-    }
+    const auto isApplied = change.mIsRemoval
+                             ? items.ApplyRemoval(change.mItem.mKey, change.mItem.mRevision, now)
+                             : items.ApplyWrite(std::move(change.mItem), now);
+    outdated += isApplied ? 0 : 1;
+  }
+  if (outdated > 0) {
+    mState->LogOutdatedItems(aRevision, "changes", outdated, now);
   }
   items.AdvanceTo(aRevision);
   if (!aChanges.empty()) {
@@ -383,17 +413,40 @@
   }
 }
 
-auto entry_gateway::OnSourceReachable(bool aIsReachable) -> void
+auto entry_gateway::OnSourceAnswer() -> void
+{
+  auto& shared = mState->mShared;
+  const auto now = ReadBootClock();
+  const auto sinceAnswer = shared.SinceSourceAnswer(now);
+  shared.mLastSourceAnswer = now;
+  if (shared.mItems.IsSourceReachable()) {
+    return;
+  }
+  shared.mItems.SetSourceReachable(true, now);
+  shared.mLog.Write(
+    log_priority::Notable,
+    "platform_regained",
+    { { "revision", shared.mItems.Revision() }, { "since_answer_us", sinceAnswer.count() } },
+    now);
+}
+
+auto entry_gateway::OnSourceFailure(source_failure aFailure) -> void
 {
   auto& shared = mState->mShared;
-  if (shared.mItems.IsSourceReachable() == aIsReachable) {
+  const auto name = kSourceFailureNames.NameOf(aFailure);
+  shared.mMetrics
+    .Counter("bronzering_source_failures_total", "reason=\"" + std::string(name) + "\"")
+    .Add();
+  if (!shared.mItems.IsSourceReachable()) {
     return;
   }
   const auto now = ReadBootClock();
-  shared.mItems.SetSourceReachable(aIsReachable, now);
+  shared.mItems.SetSourceReachable(false, now);
   shared.mLog.Write(log_priority::Notable,
-                    aIsReachable ? "platform_regained" : "platform_lost",
-                    { { "revision", shared.mItems.Revision() } },
+                    "platform_lost",
+                    { { "revision", shared.mItems.Revision() },
+                      { "reason", name },
+                      { "since_answer_us", shared.SinceSourceAnswer(now).count() } },
                     now);
 }
 
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <bronzering/base/boot_clock.h>
 #include <bronzering/base/random_source.h>
+#include <bronzering/dispatch/configuration_lag.h>
 #include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/dispatch_queue.h>
 #include <bronzering/dispatch/endpoint_table.h>
@@ -54,6 +56,18 @@
     mFirstDocumentAdopted.expires_at(boost::asio::steady_timer::time_point::max());
   }
 
+  /// Version of the routing document in force; 0 while none is known.
+  [[nodiscard]] auto ConfigurationVersion() const -> std::uint64_t
+  {
+    return mRoutes ? mRoutes->Document().mVersion : 0;
+  }
+
+  /// Time since the source of the items last answered; since the start if it never did.
+  [[nodiscard]] auto SinceSourceAnswer(time_point aNow) const -> duration
+  {
+    return aNow - mLastSourceAnswer;
+  }
+
   boost::asio::io_context& mContext;
   const gateway_settings mSettings;
   const header_names mHeaderNames;
@@ -64,6 +78,8 @@
   /// Null until a routing document is known.
   std::shared_ptr<const route_table> mRoutes;
   published_items mItems;
+  /// When the source of the items last answered; before its first answer, when the entry started.
+  time_point mLastSourceAnswer = ReadBootClock();
   /// Requests that callers send to this entry.
   decaying_rate mDemand;
   endpoint_table mEndpoints;
@@ -73,6 +89,7 @@
   /// Retry budgets by service.
   std::map<std::string, fleet_retry_budget, std::less<>> mRetryBudgets;
   peer_table mPeers;
+  configuration_lag mConfigurationLag;
   prompt_quarantine mQuarantine;
   crash_monitor mCrashMonitor;
   /// Never expires; cancelled to wake its waiters when a routing document is adopted.
--- a/packages/gateway/src/http_get.cpp
+++ b/packages/gateway/src/http_get.cpp
@@ -27,6 +27,7 @@
   -> boost::asio::awaitable<std::optional<http_answer>>
 {
   auto answer = co_await WithTimeout(Call(std::move(aTarget)), aTimeout);
+  mHasTimedOut = !answer;
   if (!answer || !*answer) {
     // The response to this request may still arrive on the connection.
     auto ignored = boost::system::error_code();
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -95,6 +95,7 @@
     mState.mEndpoints.SetPeerLoads(digest->mSender, digest->mLoads);
     mState.mEndpoints.SetPeerSpeeds(digest->mSpeeds);
     ReportPeerChanges(now);
+    ReportLateConfiguration(*digest, now);
     mState.mDispatchWaiter.Wake();
     if (digest->mRevision > mState.mItems.Revision()) {
       mOnNewerRevision();
@@ -131,6 +132,7 @@
   digest.mSequence = ++mSequence;
   digest.mIsLeaving = mState.mIsStopping;
   digest.mRevision = mState.mRoutes ? mState.mItems.Revision() : 0;
+  digest.mConfigurationVersion = mState.ConfigurationVersion();
   digest.mIsSourceStable = mState.mItems.IsSourceStable(ReadBootClock());
   digest.mDemand = mState.mDemand.At(ReadBootClock());
   digest.mLoads = mState.mEndpoints.OwnLoads();
@@ -215,6 +217,26 @@
   }
 }
 
+auto peer_channel::ReportLateConfiguration(const peer_digest& aDigest, time_point aNow) -> void
+{
+  auto& lag = mState.mConfigurationLag;
+  const auto own = mState.ConfigurationVersion();
+  lag.Update(own, aDigest.mConfigurationVersion, aNow);
+  if (!lag.IsLate(aNow) || lag.ExpectedVersion() == mReportedVersion) {
+    return;
+  }
+  mReportedVersion = lag.ExpectedVersion();
+  mState.mLog.Write(log_priority::Notable,
+                    "configuration_late",
+                    { { "version", own },
+                      { "expected", lag.ExpectedVersion() },
+                      { "peer", aDigest.mSender },
+                      { "peer_version", aDigest.mConfigurationVersion },
+                      { "source_reachable", mState.mItems.IsSourceReachable() },
+                      { "since_answer_us", mState.SinceSourceAnswer(aNow).count() } },
+                    aNow);
+}
+
 auto peer_channel::ReportPeerChanges(time_point aNow) -> void
 {
   for (const auto& change : mState.mPeers.TakeChanges(aNow)) {
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -36,6 +36,8 @@
   /// Returns the totals that differ from those sent last.
   auto ChangedUsage(std::vector<organisation_usage> aTotals) -> std::vector<organisation_usage>;
   auto ReportPeerChanges(time_point aNow) -> void;
+  /// Logs once for each version that this entry lacks for long although a peer has it.
+  auto ReportLateConfiguration(const peer_digest& aDigest, time_point aNow) -> void;
   auto ReportRateLimits(const std::string& aPeer,
                         const std::vector<rate_limit_statement>& aChanged,
                         time_point aNow) -> void;
@@ -58,6 +60,8 @@
   /// The same for endpoint_rate_limiter::Changes and the statements on rate limits.
   std::uint64_t mSentRateLimitChanges = 0;
   std::uint32_t mRateLimitRepeats = 0;
+  /// The last version that was logged as late.
+  std::uint64_t mReportedVersion = 0;
   /// Receive buffer, large enough for any UDP datagram.
   std::array<char, 64UL * 1024> mInput = {};
 };
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -105,7 +105,8 @@
                                           orNull(crashEvidence),
                                           orNull(rateLimits),
                                           static_cast<float>(aDigest.mDemand),
-                                          aDigest.mIsFull));
+                                          aDigest.mIsFull,
+                                          aDigest.mConfigurationVersion));
   return Finished(builder);
 }
 
@@ -123,6 +124,7 @@
   digest.mRevision = message->revision();
   digest.mIsSourceStable = message->is_settled();
   digest.mIsFull = message->is_full();
+  digest.mConfigurationVersion = message->configuration_version();
   if (message->loads() != nullptr) {
     for (const auto* load : *message->loads()) {
       digest.mLoads.push_back(
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -267,7 +267,7 @@
   mPublished->mEndpoints = std::move(aEndpoints);
   ++mRevision;
   auto version = std::to_string(mPublished->mDocument.mVersion);
-  mGateway->OnSourceReachable(true);
+  mGateway->OnSourceAnswer();
   mGateway->OnSnapshot({ mRevision, { { "document", std::move(version), mRevision } } });
 }
 
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -15,6 +15,7 @@
   digest.mRevision = 900;
   digest.mIsSourceStable = true;
   digest.mIsFull = true;
+  digest.mConfigurationVersion = 31;
   digest.mLoads = { { 42, 3, 5000, 700 } };
   digest.mSpeeds = { { 44, 4ms, 15.5 } };
   digest.mOrganisationUsage = { { 43, 1234.5 } };
@@ -31,6 +32,7 @@
   CHECK(decoded->mRevision == 900);
   CHECK(decoded->mIsSourceStable);
   CHECK(decoded->mIsFull);
+  CHECK(decoded->mConfigurationVersion == 31);
   REQUIRE(decoded->mLoads.size() == 1);
   CHECK(decoded->mLoads[0].mKey == 42);
   CHECK(decoded->mLoads[0].mRequests == 3);
