--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -192,8 +192,11 @@
   co_return error&& count == 0;
 }
 
-gateway_fixture::gateway_fixture(std::string aAddress, std::vector<std::string> aSeeds)
+gateway_fixture::gateway_fixture(std::string aAddress,
+                                 std::vector<std::string> aSeeds,
+                                 std::optional<item_decoder> aDecoder)
   : mAddress(std::move(aAddress))
+  , mDecoder(std::move(aDecoder))
 {
   mLog = std::make_unique<event_log>("test", mMetrics);
   // Another process may take a port before it is bound here.
@@ -226,8 +229,12 @@
   settings.mOperatorPort = sPeerPort;
   settings.mSeeds = aSeeds;
   settings.mStopGrace = std::chrono::seconds(30);
-  mGateway = std::make_unique<entry_gateway>(
-    *mContext, std::move(settings), TestHeaderNames(), Decoder(), *mLog, mMetrics);
+  mGateway = std::make_unique<entry_gateway>(*mContext,
+                                             std::move(settings),
+                                             TestHeaderNames(),
+                                             mDecoder ? *mDecoder : PublishedDecoder(),
+                                             *mLog,
+                                             mMetrics);
   return boost::leaf::try_handle_all(
     [&]() -> outcome<bool> {
       BOOST_LEAF_CHECK(mGateway->Start());
@@ -237,7 +244,7 @@
     [] { return false; });
 }
 
-auto gateway_fixture::Decoder() const -> item_decoder
+auto gateway_fixture::PublishedDecoder() const -> item_decoder
 {
   auto decoder = item_decoder();
   decoder.mDocument =
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -93,8 +93,10 @@
 class gateway_fixture
 {
 public:
+  /// aDecoder replaces the decoder of the items that Publish passes in.
   explicit gateway_fixture(std::string aAddress = "127.0.0.1",
-                           std::vector<std::string> aSeeds = {});
+                           std::vector<std::string> aSeeds = {},
+                           std::optional<item_decoder> aDecoder = {});
 
   /// Publishes a document and endpoints with a new revision.
   auto Publish(routing_document aDocument, std::vector<listed_endpoint> aEndpoints) -> void;
@@ -116,7 +118,7 @@
     std::vector<listed_endpoint> mEndpoints;
   };
   auto TryStart(const std::vector<std::string>& aSeeds) -> bool;
-  [[nodiscard]] auto Decoder() const -> item_decoder;
+  [[nodiscard]] auto PublishedDecoder() const -> item_decoder;
 
   /// Outlive the context: a request that is cut off when the context is destroyed still writes its
   /// final log line.
@@ -124,6 +126,7 @@
   std::unique_ptr<event_log> mLog;
   std::unique_ptr<boost::asio::io_context> mContext = std::make_unique<boost::asio::io_context>(1);
   std::string mAddress;
+  std::optional<item_decoder> mDecoder;
   std::uint16_t mCallerPort = 0;
   std::uint16_t mReadyPort = 0;
   std::shared_ptr<published> mPublished = std::make_shared<published>();
