--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -13,3 +13,4 @@
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/route_table.h>
 #include <bronzering/dispatch/routing_document.h>
+#include <bronzering/dispatch/source_position.h>
--- a/packages/gateway/include/bronzering/gateway/entry_gateway.h
+++ b/packages/gateway/include/bronzering/gateway/entry_gateway.h
@@ -68,8 +68,9 @@
   };
   /// Applies changes from the source, which include all changes up to aRevision.
   auto OnChanges(std::vector<item_change> aChanges, std::uint64_t aRevision) -> void;
-  /// Records that the source answered a call, or why a call to it failed.
-  auto OnSourceAnswer() -> void;
+  /// Records that the source answered a call out of the history with this number (0 if the source
+  /// numbers none), or why a call to it failed.
+  auto OnSourceAnswer(std::uint64_t aHistory = 0) -> void;
   auto OnSourceFailure(source_failure aFailure) -> void;
 
   /// Replaces the seed addresses after a settings change.
--- a/packages/gateway/include/bronzering/gateway/http_get.h
+++ b/packages/gateway/include/bronzering/gateway/http_get.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -17,6 +18,7 @@
 {
   std::uint32_t mStatus = 0;
   std::string mBody;
+  boost::beast::http::fields mFields;
 };
 
 /// HTTP client for GET requests to one server. The connection is opened on demand and kept alive
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -413,10 +413,22 @@
   }
 }
 
-auto entry_gateway::OnSourceAnswer() -> void
+auto entry_gateway::OnSourceAnswer(std::uint64_t aHistory) -> void
 {
   auto& shared = mState->mShared;
   const auto now = ReadBootClock();
+  if (shared.mSourceHistory != aHistory) {
+    shared.mLog.Write(log_priority::Notable,
+                      "source_history",
+                      { { "history", aHistory },
+                        { "previous", shared.mSourceHistory },
+                        { "held", shared.mItems.Revision() },
+                        { "items", shared.mItems.Items().size() },
+                        { "version", shared.ConfigurationVersion() } },
+                      now);
+    shared.mSourceHistory = aHistory;
+    shared.mMetrics.Gauge("bronzering_source_history").Set(static_cast<std::int64_t>(aHistory));
+  }
   const auto sinceAnswer = shared.SinceSourceAnswer(now);
   shared.mLastSourceAnswer = now;
   if (shared.mItems.IsSourceReachable()) {
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -78,6 +78,8 @@
   /// Null until a routing document is known.
   std::shared_ptr<const route_table> mRoutes;
   published_items mItems;
+  /// History of the source's last answer.
+  std::uint64_t mSourceHistory = 0;
   /// When the source of the items last answered; before its first answer, when the entry started.
   time_point mLastSourceAnswer = ReadBootClock();
   /// Requests that callers send to this entry.
--- a/packages/gateway/src/http_get.cpp
+++ b/packages/gateway/src/http_get.cpp
@@ -65,7 +65,9 @@
     mSocket.close(ignored);
   }
   auto response = parser.release();
-  co_return http_answer{ response.result_int(), std::move(response.body()) };
+  co_return http_answer{ response.result_int(),
+                         std::move(response.body()),
+                         std::move(response.base()) };
 }
 
 auto http_get_client::Connect() -> boost::asio::awaitable<bool>
