Order published items by the history of the store before the revision

Cause: revisions were compared without saying of which history. A restored store starts a new one and gives its latest revisions out again. Entries took what it then held for outdated until its revisions had caught up, and missed for good what had been written meanwhile, if they had caught up before the entry came back.

Class of fault: a number that orders events within one life of its source is used to order them across two lives.

The new history replaces the old one whatever its revision, so an entry that was cut off, frozen or starting takes it from a peer and doesn't hand the old one back. What has taken effect stays in effect: - across histories, the numbers that the owners give their items decide: the version of a configuration; start time and sequence of an endpoint - items that the copy lacks are kept for the grace period, as after an outage, and a peer confirms their removal only in the same history - an endpoint that had left and is listed again as it was is withheld until its owner writes it again, or must have renewed it (10 s). 4,096 removals are remembered at most, for 10 minutes.

The calls in existing tests are adapted to the pair; no check changed.

--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -4,6 +4,7 @@
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/prompt_quarantine.h>
+#include <bronzering/dispatch/source_position.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -25,8 +26,8 @@
   std::uint64_t mSequence = 0;
   /// The sender is shutting down.
   bool mIsLeaving = false;
-  /// Revision of the sender's copy of the published items.
-  std::uint64_t mRevision = 0;
+  /// Position of the sender's copy of the published items.
+  source_position mPosition;
   /// Version of the configuration in force at the sender; 0 while it has none.
   std::uint64_t mConfigurationVersion = 0;
   /// The sender has been connected to the source of the items without interruption for at least
@@ -86,17 +87,17 @@
   [[nodiscard]] auto MemberCount() const -> std::size_t;
   /// The peers that MemberCount counts, with their last known demand.
   [[nodiscard]] auto Demands() const -> std::vector<entry_demand>;
-  /// The live peer with the highest revision above aRevision; empty if there is none.
-  [[nodiscard]] auto FindNewerPeer(std::uint64_t aRevision) const -> std::optional<std::string>;
-  /// Whether a live peer with a stable connection to the source holds aRevision or a later one.
-  [[nodiscard]] auto IsConfirmedByPeer(std::uint64_t aRevision) const -> bool;
+  /// The live peer with the latest items after aPosition; empty if there is none.
+  [[nodiscard]] auto FindNewerPeer(source_position aPosition) const -> std::optional<std::string>;
+  /// Whether a live peer with a stable connection to the source holds aPosition or a later one.
+  [[nodiscard]] auto IsConfirmedByPeer(source_position aPosition) const -> bool;
 
 private:
   struct peer_state
   {
     std::uint64_t mIncarnation = 0;
     std::uint64_t mSequence = 0;
-    std::uint64_t mRevision = 0;
+    source_position mPosition;
     bool mIsSourceStable = false;
     bool mIsLive = false;
     bool mIsLeaving = false;
--- a/packages/dispatch/include/bronzering/dispatch/published_items.h
+++ b/packages/dispatch/include/bronzering/dispatch/published_items.h
@@ -1,9 +1,13 @@
 #pragma once
 
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/source_position.h>
 
+#include <compare>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -16,8 +20,11 @@
 {
   std::string mKey;
   std::string mValue;
-  /// Revision of the item's last change.
+  /// Revision of the item's last change, and the history that it belongs to.
   std::uint64_t mRevision = 0;
+  std::uint64_t mHistory = 0;
+
+  [[nodiscard]] auto Position() const -> source_position { return { mHistory, mRevision }; }
 };
 
 /// All items as of one revision.
@@ -25,8 +32,24 @@
 {
   std::uint64_t mRevision = 0;
   std::vector<published_item> mItems;
+  std::uint64_t mHistory = 0;
+
+  [[nodiscard]] auto Position() const -> source_position { return { mHistory, mRevision }; }
 };
 
+/// Version that the owner of an item has given it. Unlike a revision it keeps its meaning when the
+/// source is restored. A restart of the owner has a higher incarnation.
+struct owner_version
+{
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mNumber = 0;
+
+  auto operator<=>(const owner_version&) const = default;
+};
+
+/// Reads the owner's version of an item; empty if it has none or cannot be read.
+using owner_version_reader = std::function<std::optional<owner_version>(const published_item&)>;
+
 /// Where a snapshot was received from.
 enum class item_origin
 {
@@ -36,8 +59,13 @@
 };
 
 /// Local copy of the items published by the platform, updated from the source, which is the
-/// platform's store, and from peers while the source is unreachable. Revisions never go backwards:
-/// a snapshot or change that is older than the copy is ignored.
+/// platform's store, and from peers while the source is unreachable. Within one history of the
+/// source, a snapshot or change that is older than the copy is ignored.
+///
+/// When the source is restored from an older copy, its new history replaces the old one, but what
+/// has taken effect stays in effect until the source catches up: an item whose owner's version is
+/// higher than the one in the new history is kept, and an item that had been removed before is
+/// withheld until its owner writes it again, or must have renewed it.
 ///
 /// The owner of an item is the process that wrote it. An item with a lease expires, so that the
 /// source removes it, unless its owner renews it in time. During an outage of the source, items may
@@ -52,35 +80,44 @@
   /// Grace period: time after the source becomes reachable again within which owners that are alive
   /// write their expired items again.
   static constexpr auto kRenewalGrace = std::chrono::milliseconds(2'200);
+  /// Time within which a restored source removes items that their owners do not renew.
+  static constexpr auto kLeaseExpiry = std::chrono::seconds(10);
+  /// How long a removed item is remembered, and how many are. The copy that the source is restored
+  /// from may be that old.
+  static constexpr auto kRemovalMemory = std::chrono::minutes(10);
+  static constexpr std::size_t kMaxRemovals = 4'096;
+
+  explicit published_items(owner_version_reader aVersionOf = {});
 
-  /// Replaces all items by a snapshot from the source or from a peer. Returns false if the snapshot
-  /// is outdated and was ignored.
+  /// Replaces all items by a snapshot from the source or from a peer. Of an outdated snapshot only
+  /// what a peer has of later versions is used. Returns false if the snapshot was ignored.
   auto ApplySnapshot(published_snapshot aSnapshot, item_origin aOrigin, time_point aNow) -> bool;
-  /// Applies one write. Returns false if the copy has a later revision of the item.
+  /// Applies one write. Returns false if it is older than the copy or withheld.
   auto ApplyWrite(published_item aItem, time_point aNow) -> bool;
   /// Applies one removal, now or after the grace period. Returns false if there is no such item or
-  /// the copy has a later revision of it than aRevision.
-  auto ApplyRemoval(std::string_view aKey, std::uint64_t aRevision, time_point aNow) -> bool;
-  /// Sets the revision after all changes up to it have been applied.
-  auto AdvanceTo(std::uint64_t aRevision) -> void;
+  /// the copy has a later write of it than aPosition.
+  auto ApplyRemoval(std::string_view aKey, source_position aPosition, time_point aNow) -> bool;
+  /// Sets the position after all changes up to it have been applied.
+  auto AdvanceTo(source_position aPosition) -> void;
 
   /// Records whether the source responds.
   auto SetSourceReachable(bool aIsReachable, time_point aNow) -> void;
   [[nodiscard]] auto IsSourceReachable() const -> bool { return mIsReachable; }
 
-  /// Whether the source has been reachable without interruption for the whole grace period.
+  /// Whether the source has been reachable and in one history for the whole grace period.
   [[nodiscard]] auto IsSourceStable(time_point aNow) const -> bool
   {
-    return mIsReachable && aNow - mReachabilityChanged >= kRenewalGrace;
+    return mIsReachable && aNow - mLastDisturbance >= kRenewalGrace;
   }
-  /// Sets whether a peer with a stable connection to the source holds this revision or a later one.
+  /// Sets whether a peer with a stable connection to the source holds this position or a later one.
   auto SetConfirmedByPeer(bool aIsConfirmed) -> void { mIsConfirmedByPeer = aIsConfirmed; }
 
   /// Removes the expired items (those whose removal was deferred) once removals are no longer
-  /// deferred. Returns true if any item was removed.
-  auto RemoveExpiredItems(time_point aNow) -> bool;
+  /// deferred, and adds the withheld items that their owners must have renewed since. Returns true
+  /// if any item was removed or added.
+  auto ApplyDeferredChanges(time_point aNow) -> bool;
 
-  [[nodiscard]] auto Revision() const -> std::uint64_t { return mRevision; }
+  [[nodiscard]] auto Position() const -> source_position { return mPosition; }
   /// Returns null if there is no such item.
   [[nodiscard]] auto Find(std::string_view aKey) const -> const published_item*;
   [[nodiscard]] auto Items() const -> const std::map<std::string, published_item, std::less<>>&
@@ -90,23 +127,45 @@
   [[nodiscard]] auto Snapshot() const -> published_snapshot;
 
 private:
-  /// Whether a removal must wait: the source is unreachable, or it has become reachable again after
-  /// an outage, the grace period is not over and no peer confirms the copy.
+  struct removal
+  {
+    owner_version mVersion;
+    std::uint64_t mHistory = 0;
+    time_point mTime;
+  };
+
+  /// Whether a removal must wait: the source is unreachable, or it was restored or has become
+  /// reachable again after an outage, the grace period is not over and no peer confirms the copy.
   [[nodiscard]] auto DefersRemovals(time_point aNow) const -> bool;
-  /// Removes the item now, or keeps it as an expired item until RemoveExpiredItems removes it.
-  auto Remove(const std::string& aKey, bool aIsDeferred) -> void;
+  /// Removes the item now, or keeps it as an expired item until ApplyDeferredChanges removes it.
+  auto Remove(const std::string& aKey, bool aIsDeferred, time_point aNow) -> void;
+  auto Erase(const std::string& aKey, time_point aNow) -> void;
+  /// Whether aItem replaces aHeld. Precondition: both have the same key.
+  [[nodiscard]] auto Replaces(const published_item& aItem, const published_item& aHeld) const
+    -> bool;
+  /// Whether a restored source lists an item as it was before its removal.
+  [[nodiscard]] auto IsRemovedVersion(const published_item& aItem) const -> bool;
+  [[nodiscard]] auto VersionOf(const published_item& aItem) const -> std::optional<owner_version>;
+  /// Takes from an outdated snapshot what its sender has of later versions. Returns true if any
+  /// item was replaced.
+  auto MergeLaterVersions(published_snapshot aSnapshot) -> bool;
+
+  owner_version_reader mVersionOf;
 
   std::map<std::string, published_item, std::less<>> mItems;
   /// Keys of the expired items: the source no longer lists them but their owners may still renew
   /// them, so mItems still contains them.
   std::set<std::string, std::less<>> mExpiredKeys;
-  std::uint64_t mRevision = 0;
+  /// Removed items by key, with the last version that was held.
+  std::map<std::string, removal, std::less<>> mRemovals;
+  std::map<std::string, published_item, std::less<>> mWithheld;
+  source_position mPosition;
   bool mIsReachable = false;
-  /// Whether the source became unreachable after it had been reachable.
+  /// Whether the source was restored, or became unreachable after it had been reachable.
   bool mHadOutage = false;
   bool mIsConfirmedByPeer = false;
-  /// When mIsReachable last changed.
-  time_point mReachabilityChanged;
+  /// When the source last became reachable or unreachable, or its history was replaced.
+  time_point mLastDisturbance;
 };
 
 } // namespace bronzering
--- a/packages/dispatch/src/peer_table.cpp
+++ b/packages/dispatch/src/peer_table.cpp
@@ -36,7 +36,7 @@
   }
   peer = peer_state{ aDigest.mIncarnation,
                      aDigest.mSequence,
-                     aDigest.mRevision,
+                     aDigest.mPosition,
                      aDigest.mIsSourceStable,
                      true,
                      aDigest.mIsLeaving,
@@ -130,20 +130,20 @@
   return demands;
 }
 
-auto peer_table::IsConfirmedByPeer(std::uint64_t aRevision) const -> bool
+auto peer_table::IsConfirmedByPeer(source_position aPosition) const -> bool
 {
-  return std::any_of(mPeers.begin(), mPeers.end(), [aRevision](const auto& aEntry) {
+  return std::any_of(mPeers.begin(), mPeers.end(), [aPosition](const auto& aEntry) {
     const auto& peer = aEntry.second;
-    return peer.mIsLive && peer.mIsSourceStable && peer.mRevision >= aRevision;
+    return peer.mIsLive && peer.mIsSourceStable && peer.mPosition >= aPosition;
   });
 }
 
-auto peer_table::FindNewerPeer(std::uint64_t aRevision) const -> std::optional<std::string>
+auto peer_table::FindNewerPeer(source_position aPosition) const -> std::optional<std::string>
 {
   auto best = std::optional<std::string>();
   for (const auto& [address, peer] : mPeers) {
-    if (peer.mIsLive && peer.mRevision > aRevision) {
-      aRevision = peer.mRevision;
+    if (peer.mIsLive && peer.mPosition > aPosition) {
+      aPosition = peer.mPosition;
       best = address;
     }
   }
--- a/packages/dispatch/tests/peer_table_test.cpp
+++ b/packages/dispatch/tests/peer_table_test.cpp
@@ -104,28 +104,41 @@
 {
   auto table = peer_table("10.0.0.1");
   auto digest = Digest("10.0.0.2", 1, 1);
-  digest.mRevision = 20;
+  digest.mPosition = { 0, 20 };
   REQUIRE(table.OnDigest(digest, kStart));
-  CHECK(!table.IsConfirmedByPeer(20));
+  CHECK(!table.IsConfirmedByPeer({ 0, 20 }));
   digest.mSequence = 2;
   digest.mIsSourceStable = true;
   REQUIRE(table.OnDigest(digest, kStart));
-  CHECK(table.IsConfirmedByPeer(20));
-  CHECK(table.IsConfirmedByPeer(19));
-  CHECK(!table.IsConfirmedByPeer(21));
+  CHECK(table.IsConfirmedByPeer({ 0, 20 }));
+  CHECK(table.IsConfirmedByPeer({ 0, 19 }));
+  CHECK(!table.IsConfirmedByPeer({ 0, 21 }));
   static_cast<void>(table.TakeChanges(kStart + 1s));
-  CHECK(!table.IsConfirmedByPeer(20));
+  CHECK(!table.IsConfirmedByPeer({ 0, 20 }));
 }
 
 TEST_CASE("the live peer with the newest revision is found", "[peer_table]")
 {
   auto table = peer_table("10.0.0.1");
   auto second = Digest("10.0.0.2", 1, 1);
-  second.mRevision = 7;
+  second.mPosition = { 0, 7 };
   auto third = Digest("10.0.0.3", 1, 1);
-  third.mRevision = 9;
+  third.mPosition = { 0, 9 };
   REQUIRE(table.OnDigest(second, kStart));
   REQUIRE(table.OnDigest(third, kStart));
-  CHECK(table.FindNewerPeer(7) == std::optional<std::string>("10.0.0.3"));
-  CHECK(!table.FindNewerPeer(9));
+  CHECK(table.FindNewerPeer({ 0, 7 }) == std::optional<std::string>("10.0.0.3"));
+  CHECK(!table.FindNewerPeer({ 0, 9 }));
+}
+
+TEST_CASE("a peer in a later history is newer whatever its revision", "[peer_table]")
+{
+  auto table = peer_table("10.0.0.1");
+  auto digest = Digest("10.0.0.2", 1, 1);
+  digest.mPosition = { 2, 7 };
+  digest.mIsSourceStable = true;
+  REQUIRE(table.OnDigest(digest, kStart));
+  CHECK(table.FindNewerPeer({ 1, 900 }) == std::optional<std::string>("10.0.0.2"));
+  CHECK(!table.FindNewerPeer({ 3, 1 }));
+  CHECK(table.IsConfirmedByPeer({ 1, 900 }));
+  CHECK(!table.IsConfirmedByPeer({ 3, 1 }));
 }
--- a/packages/dispatch/tests/published_items_test.cpp
+++ b/packages/dispatch/tests/published_items_test.cpp
@@ -26,10 +26,10 @@
   REQUIRE(items.ApplyWrite({ "document", "v2", 12 }, kStart));
   CHECK(!items.ApplyWrite({ "document", "v1", 4 }, kStart));
   CHECK(!items.ApplySnapshot({ 9, { { "document", "v1", 4 } } }, item_origin::Source, kStart));
-  items.AdvanceTo(12);
+  items.AdvanceTo({ 0, 12 });
   CHECK(!items.ApplySnapshot({ 11, {} }, item_origin::Source, kStart));
   CHECK(items.Find("document")->mValue == "v2");
-  CHECK(!items.ApplyRemoval("document", 11, kStart));
+  CHECK(!items.ApplyRemoval("document", { 0, 11 }, kStart));
 }
 
 TEST_CASE("a snapshot removes items that it does not list unless they are newer",
@@ -48,19 +48,19 @@
   auto items = Items();
   items.SetSourceReachable(false, kStart);
   items.SetSourceReachable(true, kStart + 5s);
-  items.ApplyRemoval("endpoint", 20, kStart + 5s);
+  items.ApplyRemoval("endpoint", { 0, 20 }, kStart + 5s);
   CHECK(items.Find("endpoint") != nullptr);
-  CHECK(!items.RemoveExpiredItems(kStart + 6s));
+  CHECK(!items.ApplyDeferredChanges(kStart + 6s));
 
   SECTION("a renewed item is kept")
   {
     items.ApplyWrite({ "endpoint", "e", 25 }, kStart + 6s);
-    static_cast<void>(items.RemoveExpiredItems(kStart + 20s));
+    static_cast<void>(items.ApplyDeferredChanges(kStart + 20s));
     CHECK(items.Find("endpoint") != nullptr);
   }
   SECTION("an item that was not renewed is removed")
   {
-    CHECK(items.RemoveExpiredItems(kStart + 5s + published_items::kRenewalGrace));
+    CHECK(items.ApplyDeferredChanges(kStart + 5s + published_items::kRenewalGrace));
     CHECK(items.Find("endpoint") == nullptr);
   }
 }
@@ -73,25 +73,25 @@
   auto items = Items();
   items.SetSourceReachable(false, kStart);
   items.SetSourceReachable(true, kStart + 5s);
-  items.ApplyRemoval("endpoint", 20, kStart + 5s);
+  items.ApplyRemoval("endpoint", { 0, 20 }, kStart + 5s);
 
   SECTION("a removal that was deferred")
   {
     items.SetConfirmedByPeer(true);
-    CHECK(items.RemoveExpiredItems(kStart + 5s));
+    CHECK(items.ApplyDeferredChanges(kStart + 5s));
     CHECK(items.Find("endpoint") == nullptr);
   }
   SECTION("a later removal")
   {
     items.SetConfirmedByPeer(true);
-    items.ApplyRemoval("document", 21, kStart + 5s);
+    items.ApplyRemoval("document", { 0, 21 }, kStart + 5s);
     CHECK(items.Find("document") == nullptr);
   }
   SECTION("no removal while the source is unreachable")
   {
     items.SetSourceReachable(false, kStart + 6s);
     items.SetConfirmedByPeer(true);
-    CHECK(!items.RemoveExpiredItems(kStart + 6s));
+    CHECK(!items.ApplyDeferredChanges(kStart + 6s));
   }
 }
 
@@ -111,7 +111,7 @@
 TEST_CASE("without an outage a removal takes effect immediately", "[published_items]")
 {
   auto items = Items();
-  CHECK(items.ApplyRemoval("endpoint", 20, kStart));
+  CHECK(items.ApplyRemoval("endpoint", { 0, 20 }, kStart));
   CHECK(items.Find("endpoint") == nullptr);
 }
 
@@ -119,7 +119,7 @@
 {
   auto items = published_items();
   CHECK(items.ApplySnapshot(Items().Snapshot(), item_origin::Peer, kStart));
-  CHECK(items.Revision() == 10);
+  CHECK(items.Position() == source_position{ 0, 10 });
   CHECK(items.Find("document")->mValue == "v1");
 }
 
--- a/packages/gateway/include/bronzering/gateway/entry_gateway.h
+++ b/packages/gateway/include/bronzering/gateway/entry_gateway.h
@@ -35,6 +35,8 @@
   std::function<std::vector<listed_endpoint>(const published_items&,
                                              std::vector<rejected_item>& aRejected)>
     mEndpoints;
+  /// Versions that survive a restore of the platform's source; may be left out if it never is.
+  owner_version_reader mVersion = {};
 };
 
 /// An HTTP gateway that forwards requests directly to endpoints. It routes requests, applies
@@ -66,8 +68,8 @@
     published_item mItem;
     bool mIsRemoval = false;
   };
-  /// Applies changes from the source, which include all changes up to aRevision.
-  auto OnChanges(std::vector<item_change> aChanges, std::uint64_t aRevision) -> void;
+  /// Applies changes from the source, which include all changes up to aPosition, in its history.
+  auto OnChanges(std::vector<item_change> aChanges, source_position aPosition) -> void;
   /// Records that the source answered a call out of the history with this number (0 if the source
   /// numbers none), or why a call to it failed.
   auto OnSourceAnswer(std::uint64_t aHistory = 0) -> void;
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -47,7 +47,12 @@
         item_decoder aDecoder,
         event_log& aLog,
         metrics_registry& aMetrics)
-    : mShared(aContext, std::move(aSettings), std::move(aHeaderNames), aLog, aMetrics)
+    : mShared(aContext,
+              std::move(aSettings),
+              std::move(aHeaderNames),
+              aDecoder.mVersion,
+              aLog,
+              aMetrics)
     , mDecoder(std::move(aDecoder))
     , mPeerChannel(mShared, [this] { OnNewerPeerItems(); })
     , mCallerAcceptor(aContext)
@@ -67,7 +72,7 @@
   auto AdoptDocument() -> void;
   auto AdoptEndpoints() -> void;
   /// Logs that items of the source were ignored because the copy has later ones.
-  auto LogOutdatedItems(std::uint64_t aRevision,
+  auto LogOutdatedItems(source_position aPosition,
                         std::string_view aWhat,
                         std::size_t aCount,
                         time_point aNow) -> void;
@@ -149,8 +154,8 @@
     timer.expires_after(kMaintenanceInterval);
     co_await timer.async_wait(kUseTuple);
     const auto now = ReadBootClock();
-    mShared.mItems.SetConfirmedByPeer(mShared.mPeers.IsConfirmedByPeer(mShared.mItems.Revision()));
-    if (mShared.mItems.RemoveExpiredItems(now)) {
+    mShared.mItems.SetConfirmedByPeer(mShared.mPeers.IsConfirmedByPeer(mShared.mItems.Position()));
+    if (mShared.mItems.ApplyDeferredChanges(now)) {
       AdoptEndpoints();
     }
     auto endpoints = std::vector<std::string>();
@@ -171,7 +176,7 @@
     metrics.Gauge("bronzering_live_peers")
       .Set(static_cast<std::int64_t>(mShared.mPeers.LivePeers().size()));
     metrics.Gauge("bronzering_items_revision")
-      .Set(static_cast<std::int64_t>(mShared.mItems.Revision()));
+      .Set(static_cast<std::int64_t>(mShared.mItems.Position().mRevision));
     metrics.Gauge("bronzering_configuration_version")
       .Set(static_cast<std::int64_t>(mShared.ConfigurationVersion()));
     metrics.Gauge("bronzering_source_answer_age_ms")
@@ -220,7 +225,7 @@
   timer.expires_after(kPeerFetchDelay);
   co_await timer.async_wait(kUseTuple);
   const auto isSourceLate = !mShared.mItems.IsSourceReachable() || !mShared.mRoutes;
-  const auto peer = mShared.mPeers.FindNewerPeer(mShared.mItems.Revision());
+  const auto peer = mShared.mPeers.FindNewerPeer(mShared.mItems.Position());
   if (isSourceLate && peer) {
     auto address = *peer + ":" + std::to_string(mShared.mSettings.mOperatorPort);
     auto client =
@@ -229,12 +234,15 @@
     const auto answer = co_await client.Get(std::move(target), kPeerFetchTimeout);
     auto snapshot = answer && answer->mStatus == 200 ? DecodeSnapshot(answer->mBody) : std::nullopt;
     const auto now = ReadBootClock();
-    const auto fetched = snapshot ? snapshot->mRevision : 0;
+    const auto fetched = snapshot ? snapshot->Position() : source_position();
     const auto isApplied =
       snapshot && mShared.mItems.ApplySnapshot(std::move(*snapshot), item_origin::Peer, now);
     mShared.mLog.Write(log_priority::Notable,
                        "items_from_peer",
-                       { { "peer", *peer }, { "revision", fetched }, { "applied", isApplied } },
+                       { { "peer", *peer },
+                         { "revision", fetched.mRevision },
+                         { "history", fetched.mHistory },
+                         { "applied", isApplied } },
                        now);
     if (isApplied) {
       AdoptDocument();
@@ -276,7 +284,8 @@
                      "configuration_adopted",
                      { { "version", table->Document().mVersion },
                        { "previous", current },
-                       { "revision", mShared.mItems.Revision() },
+                       { "revision", mShared.mItems.Position().mRevision },
+                       { "history", mShared.mItems.Position().mHistory },
                        { "routes", table->Document().mRoutes.size() },
                        { "organisations", table->Document().mOrganisations.size() } },
                      now);
@@ -305,11 +314,13 @@
     previous.emplace(endpoint.mId, endpoint.mIsLeaving);
   }
   const auto log = [this, now](const std::string& aId, std::string_view aState) {
-    mShared.mLog.Write(
-      log_priority::Notable,
-      "endpoint_state",
-      { { "endpoint", aId }, { "state", aState }, { "revision", mShared.mItems.Revision() } },
-      now);
+    mShared.mLog.Write(log_priority::Notable,
+                       "endpoint_state",
+                       { { "endpoint", aId },
+                         { "state", aState },
+                         { "revision", mShared.mItems.Position().mRevision },
+                         { "history", mShared.mItems.Position().mHistory } },
+                       now);
   };
   for (const auto& endpoint : endpoints) {
     const auto found = previous.find(endpoint.mId);
@@ -325,7 +336,7 @@
   mShared.mDispatchWaiter.Wake();
 }
 
-auto entry_gateway::state::LogOutdatedItems(std::uint64_t aRevision,
+auto entry_gateway::state::LogOutdatedItems(source_position aPosition,
                                             std::string_view aWhat,
                                             std::size_t aCount,
                                             time_point aNow) -> void
@@ -334,8 +345,10 @@
                      "items_outdated",
                      { { "kind", aWhat },
                        { "ignored", aCount },
-                       { "revision", aRevision },
-                       { "held", mShared.mItems.Revision() } },
+                       { "revision", aPosition.mRevision },
+                       { "history", aPosition.mHistory },
+                       { "held", mShared.mItems.Position().mRevision },
+                       { "held_history", mShared.mItems.Position().mHistory } },
                      aNow);
 }
 
@@ -383,30 +396,31 @@
 auto entry_gateway::OnSnapshot(published_snapshot aSnapshot) -> void
 {
   const auto now = ReadBootClock();
-  const auto sourceRevision = aSnapshot.mRevision;
+  const auto position = aSnapshot.Position();
   if (!mState->mShared.mItems.ApplySnapshot(std::move(aSnapshot), item_origin::Source, now)) {
-    mState->LogOutdatedItems(sourceRevision, "snapshot", 1, now);
+    mState->LogOutdatedItems(position, "snapshot", 1, now);
     return;
   }
   mState->AdoptDocument();
   mState->AdoptEndpoints();
 }
 
-auto entry_gateway::OnChanges(std::vector<item_change> aChanges, std::uint64_t aRevision) -> void
+auto entry_gateway::OnChanges(std::vector<item_change> aChanges, source_position aPosition) -> void
 {
   auto& items = mState->mShared.mItems;
   const auto now = ReadBootClock();
   auto outdated = std::size_t{ 0 };
   for (auto& change : aChanges) {
-    const auto isApplied = change.mIsRemoval
-                             ? items.ApplyRemoval(change.mItem.mKey, change.mItem.mRevision, now)
-                             : items.ApplyWrite(std::move(change.mItem), now);
+    auto& item = change.mItem;
+    item.mHistory = aPosition.mHistory;
+    const auto isApplied = change.mIsRemoval ? items.ApplyRemoval(item.mKey, item.Position(), now)
+                                             : items.ApplyWrite(std::move(item), now);
     outdated += isApplied ? 0 : 1;
   }
   if (outdated > 0) {
-    mState->LogOutdatedItems(aRevision, "changes", outdated, now);
+    mState->LogOutdatedItems(aPosition, "changes", outdated, now);
   }
-  items.AdvanceTo(aRevision);
+  items.AdvanceTo(aPosition);
   if (!aChanges.empty()) {
     mState->AdoptDocument();
     mState->AdoptEndpoints();
@@ -422,7 +436,8 @@
                       "source_history",
                       { { "history", aHistory },
                         { "previous", shared.mSourceHistory },
-                        { "held", shared.mItems.Revision() },
+                        { "held", shared.mItems.Position().mRevision },
+                        { "held_history", shared.mItems.Position().mHistory },
                         { "items", shared.mItems.Items().size() },
                         { "version", shared.ConfigurationVersion() } },
                       now);
@@ -435,11 +450,11 @@
     return;
   }
   shared.mItems.SetSourceReachable(true, now);
-  shared.mLog.Write(
-    log_priority::Notable,
-    "platform_regained",
-    { { "revision", shared.mItems.Revision() }, { "since_answer_us", sinceAnswer.count() } },
-    now);
+  shared.mLog.Write(log_priority::Notable,
+                    "platform_regained",
+                    { { "revision", shared.mItems.Position().mRevision },
+                      { "since_answer_us", sinceAnswer.count() } },
+                    now);
 }
 
 auto entry_gateway::OnSourceFailure(source_failure aFailure) -> void
@@ -456,7 +471,7 @@
   shared.mItems.SetSourceReachable(false, now);
   shared.mLog.Write(log_priority::Notable,
                     "platform_lost",
-                    { { "revision", shared.mItems.Revision() },
+                    { { "revision", shared.mItems.Position().mRevision },
                       { "reason", name },
                       { "since_answer_us", shared.SinceSourceAnswer(now).count() } },
                     now);
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -59,7 +59,8 @@
 auto exchange::AddDecisionInputs(boost::json::object& aLine) const -> void
 {
   aLine["retry_after_us"] = Micros(mRetryAfter);
-  aLine["revision"] = mState.mItems.Revision();
+  aLine["revision"] = mState.mItems.Position().mRevision;
+  aLine["history"] = mState.mItems.Position().mHistory;
   aLine["source_reachable"] = mState.mItems.IsSourceReachable();
   aLine["live_peers"] = mState.mPeers.LivePeers().size();
   if (mDecision) {
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -36,6 +36,7 @@
   gateway_state(boost::asio::io_context& aContext,
                 gateway_settings aSettings,
                 header_names aHeaderNames,
+                owner_version_reader aVersionOf,
                 event_log& aLog,
                 metrics_registry& aMetrics)
     : mContext(aContext)
@@ -44,6 +45,7 @@
     , mLog(aLog)
     , mMetrics(aMetrics)
     , mRandom(mSettings.mSeed)
+    , mItems(std::move(aVersionOf))
     , mEndpoints(mSettings.mAvailabilityZone, mSettings.mAddress)
     , mDispatchWaiter(aContext, mEndpoints)
     , mConnections(aContext)
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -33,9 +33,9 @@
 
 } // namespace
 
-peer_channel::peer_channel(gateway_state& aState, std::function<void()> aOnNewerRevision)
+peer_channel::peer_channel(gateway_state& aState, std::function<void()> aOnNewerItems)
   : mState(aState)
-  , mOnNewerRevision(std::move(aOnNewerRevision))
+  , mOnNewerItems(std::move(aOnNewerItems))
   , mSocket(aState.mContext)
   , mIncarnation(NewIncarnation().mValue)
 {
@@ -97,8 +97,8 @@
     ReportPeerChanges(now);
     ReportLateConfiguration(*digest, now);
     mState.mDispatchWaiter.Wake();
-    if (digest->mRevision > mState.mItems.Revision()) {
-      mOnNewerRevision();
+    if (digest->mPosition > mState.mItems.Position()) {
+      mOnNewerItems();
     }
   }
 }
@@ -131,7 +131,7 @@
   digest.mIncarnation = mIncarnation;
   digest.mSequence = ++mSequence;
   digest.mIsLeaving = mState.mIsStopping;
-  digest.mRevision = mState.mRoutes ? mState.mItems.Revision() : 0;
+  digest.mPosition = mState.mRoutes ? mState.mItems.Position() : source_position();
   digest.mConfigurationVersion = mState.ConfigurationVersion();
   digest.mIsSourceStable = mState.mItems.IsSourceStable(ReadBootClock());
   digest.mDemand = mState.mDemand.At(ReadBootClock());
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -22,8 +22,8 @@
 class peer_channel
 {
 public:
-  /// aOnNewerRevision is called for each digest from a peer that holds newer items.
-  peer_channel(gateway_state& aState, std::function<void()> aOnNewerRevision);
+  /// aOnNewerItems is called for each digest from a peer that holds newer items.
+  peer_channel(gateway_state& aState, std::function<void()> aOnNewerItems);
 
   [[nodiscard]] auto Open() -> outcome<void>;
   auto Receive() -> boost::asio::awaitable<void>;
@@ -46,7 +46,7 @@
   auto RepeatRateLimits() -> void;
 
   gateway_state& mState;
-  std::function<void()> mOnNewerRevision;
+  std::function<void()> mOnNewerItems;
   boost::asio::ip::udp::socket mSocket;
   std::uint64_t mIncarnation;
   std::uint64_t mSequence = 0;
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -96,7 +96,7 @@
                                           aDigest.mIncarnation,
                                           aDigest.mSequence,
                                           aDigest.mIsLeaving,
-                                          aDigest.mRevision,
+                                          aDigest.mPosition.mRevision,
                                           orNull(loads),
                                           orNull(spending),
                                           orNull(peers),
@@ -106,7 +106,8 @@
                                           orNull(rateLimits),
                                           static_cast<float>(aDigest.mDemand),
                                           aDigest.mIsFull,
-                                          aDigest.mConfigurationVersion));
+                                          aDigest.mConfigurationVersion,
+                                          aDigest.mPosition.mHistory));
   return Finished(builder);
 }
 
@@ -121,7 +122,7 @@
   digest.mIncarnation = message->incarnation();
   digest.mSequence = message->sequence();
   digest.mIsLeaving = message->is_leaving();
-  digest.mRevision = message->revision();
+  digest.mPosition = { message->history(), message->revision() };
   digest.mIsSourceStable = message->is_settled();
   digest.mIsFull = message->is_full();
   digest.mConfigurationVersion = message->configuration_version();
@@ -179,9 +180,10 @@
   for (const auto& item : aSnapshot.mItems) {
     const auto key = builder.CreateString(item.mKey);
     const auto value = builder.CreateString(item.mValue);
-    items.push_back(peer::CreateItem(builder, key, value, item.mRevision));
+    items.push_back(peer::CreateItem(builder, key, value, item.mRevision, item.mHistory));
   }
-  builder.Finish(peer::CreateSnapshotDirect(builder, aSnapshot.mRevision, &items));
+  builder.Finish(
+    peer::CreateSnapshotDirect(builder, aSnapshot.mRevision, &items, aSnapshot.mHistory));
   return Finished(builder);
 }
 
@@ -191,11 +193,12 @@
   if (message == nullptr) {
     return std::nullopt;
   }
-  auto snapshot = published_snapshot{ message->revision(), {} };
+  auto snapshot = published_snapshot{ message->revision(), {}, message->history() };
   if (message->items() != nullptr) {
     for (const auto* item : *message->items()) {
       if (item->key() != nullptr && item->value() != nullptr) {
-        snapshot.mItems.push_back({ item->key()->str(), item->value()->str(), item->revision() });
+        snapshot.mItems.push_back(
+          { item->key()->str(), item->value()->str(), item->revision(), item->history() });
       }
     }
   }
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -270,6 +270,32 @@
   });
 }
 
+TEST_CASE("an entry cut off during a restore takes the new history from a peer", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture("127.0.0.1");
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", CompleteAnswer);
+  fixture.Publish(TestDocument(7), { endpoint.Listed() });
+  fixture.Gateway().OnSnapshot({ 3, { { "document", "7", 3, 2 } }, 2 });
+
+  // The second entry runs on a separate context, which this test polls.
+  auto other = gateway_fixture("127.0.0.2", { "127.0.0.1" });
+  other.Gateway().OnSourceAnswer(1);
+  other.Gateway().OnSnapshot({ 900, { { "document", "6", 900, 1 } }, 1 });
+  other.Gateway().OnSourceFailure(source_failure::TimedOut);
+  const auto& revision = other.Metrics().Gauge("bronzering_items_revision");
+  fixture.Run([&]() -> awaitable<void> {
+    for (auto step = 0; step < 2000 && revision.Value() != 3; ++step) {
+      other.Context().restart();
+      other.Context().poll();
+      co_await Pause(5ms);
+    }
+    CHECK(revision.Value() == 3);
+    CHECK(other.Metrics().Gauge("bronzering_configuration_version").Value() == 7);
+    // It does not hand its old history back.
+    CHECK(fixture.Metrics().Gauge("bronzering_items_revision").Value() == 3);
+  });
+}
+
 TEST_CASE("each request is counted once, with its outcome", "[entry_gateway]")
 {
   auto fixture = gateway_fixture();
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -12,7 +12,7 @@
   digest.mIncarnation = 77;
   digest.mSequence = 5;
   digest.mIsLeaving = true;
-  digest.mRevision = 900;
+  digest.mPosition = { 4, 900 };
   digest.mIsSourceStable = true;
   digest.mIsFull = true;
   digest.mConfigurationVersion = 31;
@@ -29,7 +29,7 @@
   CHECK(decoded->mIncarnation == 77);
   CHECK(decoded->mSequence == 5);
   CHECK(decoded->mIsLeaving);
-  CHECK(decoded->mRevision == 900);
+  CHECK(decoded->mPosition == source_position{ 4, 900 });
   CHECK(decoded->mIsSourceStable);
   CHECK(decoded->mIsFull);
   CHECK(decoded->mConfigurationVersion == 31);
@@ -65,12 +65,12 @@
 
 TEST_CASE("a decoded snapshot equals the encoded one", "[peer_codec]")
 {
-  const auto snapshot = published_snapshot{ 12, { { "key", std::string("a\0b", 3), 11 } } };
+  const auto snapshot = published_snapshot{ 12, { { "key", std::string("a\0b", 3), 11, 2 } }, 3 };
   const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot));
   REQUIRE(decoded);
-  CHECK(decoded->mRevision == 12);
+  CHECK(decoded->Position() == source_position{ 3, 12 });
   REQUIRE(decoded->mItems.size() == 1);
   CHECK(decoded->mItems[0].mKey == "key");
   CHECK(decoded->mItems[0].mValue == snapshot.mItems[0].mValue);
-  CHECK(decoded->mItems[0].mRevision == 11);
+  CHECK(decoded->mItems[0].Position() == source_position{ 2, 11 });
 }
