Take a configuration from a peer when the source has an older one

An entry that starts while a restored store still holds an older configuration adopted that, although its peers had the one that the store had confirmed: callers of its routes and keys would be turned away until the operator had written it again.

Cause: entries asked peers for items only while they couldn't reach the store, or had no configuration at all.

Change: an entry that lacks a version for a second after a peer was known to have it fetches that peer's items and takes what is of a later version, whichever history the peer is in. It also covers a source that answers but lags, for whatever reason. Entries normally get each version within half a second of each other, so nothing is fetched then; an attempt without success is repeated after a second.

--- a/packages/dispatch/include/bronzering/dispatch/configuration_lag.h
+++ b/packages/dispatch/include/bronzering/dispatch/configuration_lag.h
@@ -27,6 +27,8 @@
       mExpectedSince = aNow;
     }
   }
+  /// Starts the time anew, after an attempt to get the version from a peer.
+  auto Restart(time_point aNow) -> void { mExpectedSince = aNow; }
   /// Whether a version that a peer had kTolerance ago is still missing.
   [[nodiscard]] auto IsLate(time_point aNow) const -> bool
   {
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -89,6 +89,9 @@
   [[nodiscard]] auto Demands() const -> std::vector<entry_demand>;
   /// The live peer with the latest items after aPosition; empty if there is none.
   [[nodiscard]] auto FindNewerPeer(source_position aPosition) const -> std::optional<std::string>;
+  /// The live peer with the highest configuration above aVersion; empty if there is none.
+  [[nodiscard]] auto FindPeerWithConfigurationAbove(std::uint64_t aVersion) const
+    -> std::optional<std::string>;
   /// Whether a live peer with a stable connection to the source holds aPosition or a later one.
   [[nodiscard]] auto IsConfirmedByPeer(source_position aPosition) const -> bool;
 
@@ -98,6 +101,7 @@
     std::uint64_t mIncarnation = 0;
     std::uint64_t mSequence = 0;
     source_position mPosition;
+    std::uint64_t mConfigurationVersion = 0;
     bool mIsSourceStable = false;
     bool mIsLive = false;
     bool mIsLeaving = false;
--- a/packages/dispatch/src/peer_table.cpp
+++ b/packages/dispatch/src/peer_table.cpp
@@ -37,6 +37,7 @@
   peer = peer_state{ aDigest.mIncarnation,
                      aDigest.mSequence,
                      aDigest.mPosition,
+                     aDigest.mConfigurationVersion,
                      aDigest.mIsSourceStable,
                      true,
                      aDigest.mIsLeaving,
@@ -150,4 +151,17 @@
   return best;
 }
 
+auto peer_table::FindPeerWithConfigurationAbove(std::uint64_t aVersion) const
+  -> std::optional<std::string>
+{
+  auto best = std::optional<std::string>();
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mIsLive && peer.mConfigurationVersion > aVersion) {
+      aVersion = peer.mConfigurationVersion;
+      best = address;
+    }
+  }
+  return best;
+}
+
 } // namespace bronzering
--- a/packages/dispatch/tests/peer_table_test.cpp
+++ b/packages/dispatch/tests/peer_table_test.cpp
@@ -142,3 +142,17 @@
   CHECK(table.IsConfirmedByPeer({ 1, 900 }));
   CHECK(!table.IsConfirmedByPeer({ 3, 1 }));
 }
+
+TEST_CASE("the live peer with the highest configuration is found", "[peer_table]")
+{
+  auto table = peer_table("10.0.0.1");
+  auto second = Digest("10.0.0.2", 1, 1);
+  second.mConfigurationVersion = 7;
+  second.mPosition = { 0, 9 };
+  auto third = Digest("10.0.0.3", 1, 1);
+  third.mConfigurationVersion = 8;
+  REQUIRE(table.OnDigest(second, kStart));
+  REQUIRE(table.OnDigest(third, kStart));
+  CHECK(table.FindPeerWithConfigurationAbove(6) == std::optional<std::string>("10.0.0.3"));
+  CHECK(!table.FindPeerWithConfigurationAbove(8));
+}
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -224,9 +224,16 @@
   auto timer = boost::asio::steady_timer(mShared.mContext);
   timer.expires_after(kPeerFetchDelay);
   co_await timer.async_wait(kUseTuple);
+  // A peer may have a configuration that the source has lost, if the source was restored from an
+  // older copy.
+  const auto isConfigurationLate = mShared.mConfigurationLag.IsLate(ReadBootClock());
   const auto isSourceLate = !mShared.mItems.IsSourceReachable() || !mShared.mRoutes;
-  const auto peer = mShared.mPeers.FindNewerPeer(mShared.mItems.Position());
-  if (isSourceLate && peer) {
+  const auto peer =
+    isConfigurationLate
+      ? mShared.mPeers.FindPeerWithConfigurationAbove(mShared.ConfigurationVersion())
+    : isSourceLate ? mShared.mPeers.FindNewerPeer(mShared.mItems.Position())
+                   : std::nullopt;
+  if (peer) {
     auto address = *peer + ":" + std::to_string(mShared.mSettings.mOperatorPort);
     auto client =
       http_get_client(mShared.mContext.get_executor(), std::move(address), kMaxSnapshotBytes);
@@ -235,6 +242,7 @@
     auto snapshot = answer && answer->mStatus == 200 ? DecodeSnapshot(answer->mBody) : std::nullopt;
     const auto now = ReadBootClock();
     const auto fetched = snapshot ? snapshot->Position() : source_position();
+    mShared.mConfigurationLag.Restart(now);
     const auto isApplied =
       snapshot && mShared.mItems.ApplySnapshot(std::move(*snapshot), item_origin::Peer, now);
     mShared.mLog.Write(log_priority::Notable,
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -97,7 +97,7 @@
     ReportPeerChanges(now);
     ReportLateConfiguration(*digest, now);
     mState.mDispatchWaiter.Wake();
-    if (digest->mPosition > mState.mItems.Position()) {
+    if (digest->mPosition > mState.mItems.Position() || mState.mConfigurationLag.IsLate(now)) {
       mOnNewerItems();
     }
   }
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -22,7 +22,8 @@
 class peer_channel
 {
 public:
-  /// aOnNewerItems is called for each digest from a peer that holds newer items.
+  /// aOnNewerItems is called for each digest from a peer that holds newer items, and for each
+  /// digest while this entry lacks a configuration that a peer has.
   peer_channel(gateway_state& aState, std::function<void()> aOnNewerItems);
 
   [[nodiscard]] auto Open() -> outcome<void>;
