Keep a deferred removal when a peer defers it too

Cause: the copy marked expired items in a set beside them.

Change: the mark is part of the item. The same write leaves it; only another write renews the item.

Evidence: "a removal that two entries defer takes effect at both" failed before in both sections and passes.

--- a/packages/dispatch/include/bronzering/dispatch/published_items.h
+++ b/packages/dispatch/include/bronzering/dispatch/published_items.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +22,8 @@
   /// Revision of the item's last change, and the history that it belongs to.
   std::uint64_t mRevision = 0;
   std::uint64_t mHistory = 0;
+  /// Whether the source no longer lists the item, although its owner may still renew it.
+  bool mIsExpired = false;
 
   [[nodiscard]] auto Position() const -> source_position { return { mHistory, mRevision }; }
 };
@@ -71,7 +72,7 @@
 /// source removes it, unless its owner renews it in time. During an outage of the source, items may
 /// thus expire although their owner is alive. After an outage, a removal therefore takes effect
 /// only after a grace period, unless a peer that stayed connected to the source confirms the copy.
-/// Until then the item stays in the copy as an expired item.
+/// Until then the item stays in the copy as an expired item, also at peers that take it from here.
 ///
 /// Not thread-safe: owned by the control thread.
 class published_items
@@ -153,9 +154,8 @@
   owner_version_reader mVersionOf;
 
   std::map<std::string, published_item, std::less<>> mItems;
-  /// Keys of the expired items: the source no longer lists them but their owners may still renew
-  /// them, so mItems still contains them.
-  std::set<std::string, std::less<>> mExpiredKeys;
+  /// Whether mItems may contain expired items.
+  bool mMayHaveExpired = false;
   /// Removed items by key, with the last version that was held.
   std::map<std::string, removal, std::less<>> mRemovals;
   std::map<std::string, published_item, std::less<>> mWithheld;
--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -1,6 +1,7 @@
 #include <bronzering/dispatch/published_items.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace bronzering {
@@ -52,12 +53,15 @@
   if (found != mItems.end() && !Replaces(aItem, found->second)) {
     return false;
   }
+  // Only another write renews an item; a peer may have the same one.
+  const auto isSameWrite = found != mItems.end() && found->second.Position() == aItem.Position();
+  aItem.mIsExpired = aItem.mIsExpired || (isSameWrite && found->second.mIsExpired);
+  mMayHaveExpired = mMayHaveExpired || aItem.mIsExpired;
   auto key = aItem.mKey;
   if (found == mItems.end() && IsRemovedVersion(aItem)) {
     mWithheld.insert_or_assign(std::move(key), std::move(aItem));
     return false;
   }
-  mExpiredKeys.erase(key);
   mRemovals.erase(key);
   mWithheld.erase(key);
   mItems.insert_or_assign(std::move(key), std::move(aItem));
@@ -100,11 +104,18 @@
   std::erase_if(
     mRemovals, [aNow](const auto& aEntry) { return aNow - aEntry.second.mTime >= kRemovalMemory; });
   auto hasChanged = false;
-  if (!mExpiredKeys.empty() && !DefersRemovals(aNow)) {
-    for (const auto& key : std::exchange(mExpiredKeys, {})) {
+  if (mMayHaveExpired && !DefersRemovals(aNow)) {
+    auto expired = std::vector<std::string>();
+    for (const auto& [key, item] : mItems) {
+      if (item.mIsExpired) {
+        expired.push_back(key);
+      }
+    }
+    for (const auto& key : expired) {
       Erase(key, aNow);
     }
-    hasChanged = true;
+    mMayHaveExpired = false;
+    hasChanged = !expired.empty();
   }
   if (!mWithheld.empty() && mIsReachable && aNow - mLastDisturbance >= kLeaseExpiry) {
     for (auto& [key, item] : std::exchange(mWithheld, {})) {
@@ -140,11 +151,13 @@
 
 auto published_items::Remove(const std::string& aKey, bool aIsDeferred, time_point aNow) -> void
 {
-  if (aIsDeferred) {
-    mExpiredKeys.insert(aKey);
-  } else {
-    mExpiredKeys.erase(aKey);
+  if (!aIsDeferred) {
     Erase(aKey, aNow);
+    return;
+  }
+  if (const auto found = mItems.find(aKey); found != mItems.end()) {
+    found->second.mIsExpired = true;
+    mMayHaveExpired = true;
   }
 }
 
@@ -201,6 +214,8 @@
     const auto found = mItems.find(item.mKey);
     if (found != mItems.end() && item.Position() != found->second.Position() &&
         Replaces(item, found->second)) {
+      // The sender's view of what has expired is outdated.
+      item.mIsExpired = false;
       found->second = std::move(item);
       hasChanged = true;
     }
--- a/packages/dispatch/tests/published_items_test.cpp
+++ b/packages/dispatch/tests/published_items_test.cpp
@@ -95,6 +95,33 @@
   }
 }
 
+// Requests would be sent to an endpoint long after it had left.
+TEST_CASE("a removal that two entries defer takes effect at both", "[published_items]")
+{
+  auto first = Items();
+  auto second = Items();
+  const auto back = kStart + 5s;
+  for (auto* items : { &first, &second }) {
+    items->SetSourceReachable(false, kStart);
+    items->SetSourceReachable(true, back);
+    items->ApplySnapshot({ 20, { { "document", "v1", 4 } } }, item_origin::Source, back);
+    REQUIRE(items->Find("endpoint") != nullptr);
+  }
+  REQUIRE(second.ApplySnapshot(first.Snapshot(), item_origin::Peer, back));
+  CHECK(second.Find("endpoint") != nullptr);
+  CHECK(second.ApplyDeferredChanges(back + published_items::kRenewalGrace));
+  CHECK(second.Find("endpoint") == nullptr);
+
+  SECTION("and at an entry that first learns of it from them")
+  {
+    auto third = published_items();
+    REQUIRE(third.ApplySnapshot(first.Snapshot(), item_origin::Peer, back));
+    third.SetSourceReachable(true, back);
+    CHECK(third.ApplyDeferredChanges(back + published_items::kRenewalGrace));
+    CHECK(third.Find("endpoint") == nullptr);
+  }
+}
+
 TEST_CASE("a source is stable once it has been reachable for the grace period", "[published_items]")
 {
   auto items = published_items();
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -180,7 +180,8 @@
   for (const auto& item : aSnapshot.mItems) {
     const auto key = builder.CreateString(item.mKey);
     const auto value = builder.CreateString(item.mValue);
-    items.push_back(peer::CreateItem(builder, key, value, item.mRevision, item.mHistory));
+    items.push_back(
+      peer::CreateItem(builder, key, value, item.mRevision, item.mHistory, item.mIsExpired));
   }
   builder.Finish(
     peer::CreateSnapshotDirect(builder, aSnapshot.mRevision, &items, aSnapshot.mHistory));
@@ -197,8 +198,11 @@
   if (message->items() != nullptr) {
     for (const auto* item : *message->items()) {
       if (item->key() != nullptr && item->value() != nullptr) {
-        snapshot.mItems.push_back(
-          { item->key()->str(), item->value()->str(), item->revision(), item->history() });
+        snapshot.mItems.push_back({ item->key()->str(),
+                                    item->value()->str(),
+                                    item->revision(),
+                                    item->history(),
+                                    item->is_expired() });
       }
     }
   }
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -65,7 +65,8 @@
 
 TEST_CASE("a decoded snapshot equals the encoded one", "[peer_codec]")
 {
-  const auto snapshot = published_snapshot{ 12, { { "key", std::string("a\0b", 3), 11, 2 } }, 3 };
+  const auto snapshot =
+    published_snapshot{ 12, { { "key", std::string("a\0b", 3), 11, 2, true } }, 3 };
   const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot));
   REQUIRE(decoded);
   CHECK(decoded->Position() == source_position{ 3, 12 });
@@ -73,4 +74,5 @@
   CHECK(decoded->mItems[0].mKey == "key");
   CHECK(decoded->mItems[0].mValue == snapshot.mItems[0].mValue);
   CHECK(decoded->mItems[0].Position() == source_position{ 2, 11 });
+  CHECK(decoded->mItems[0].mIsExpired);
 }
