Send nothing more to an endpoint that has answered that it is leaving

An endpoint that shuts down now says so in all its answers. Entries that were away from the store, or whose copy of it is older, went on sending to it until the list showed that it was leaving.

Change: the adapter names the header; the endpoint's state in dispatch keeps that this entry has such an answer, apart from what the platform lists, and the endpoint is not chosen any more. It ends with the incarnation of the endpoint. Peers are not told: each entry acts on what it has seen at first hand.

Evidence: with the answer ignored, the test's endpoint gets all 6 requests instead of 1 and the other one none.

--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -120,6 +120,10 @@
   /// Records the end of an outstanding request. Unknown exchanges are ignored.
   auto End(exchange_id aExchange, attempt_result aResult, time_point aNow) -> void;
 
+  /// Records that an endpoint has answered that it is shutting down. It is not chosen any more,
+  /// until it restarts. Returns false if that is known already, or the endpoint is not listed.
+  auto OnLeavingAnswer(const std::string& aEndpoint, std::uint64_t aIncarnation) -> bool;
+
   /// Replaces the peer's outstanding work. Endpoints missing from aLoads have none.
   auto SetPeerLoads(const std::string& aPeer, const std::vector<endpoint_load>& aLoads) -> void;
   /// Merges speeds measured by a peer. They are kept after DropPeer.
@@ -154,6 +158,8 @@
     time_point mAvoidUntil;
     /// Moving average of the failure rate, 0 to 1.
     double mFailureRate = 0;
+    /// Whether it has answered this entry that it is shutting down, whatever the list says.
+    bool mHasAnsweredLeaving = false;
   };
   struct outstanding_request
   {
@@ -167,6 +173,11 @@
     time_point mSent;
     time_point mLastEvent;
   };
+  /// Whether the endpoint is shutting down, according to the list or to its own answers.
+  [[nodiscard]] static auto IsLeaving(const endpoint_state& aEndpoint) -> bool
+  {
+    return aEndpoint.mListed.mIsLeaving || aEndpoint.mHasAnsweredLeaving;
+  }
   /// Outstanding work of this entry and its peers.
   [[nodiscard]] auto TotalLoad(const endpoint_state& aEndpoint) const -> endpoint_load;
   /// Speed measured by this entry, or by a peer where this entry has no measurement.
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace bronzering {
 
@@ -115,7 +116,7 @@
     return std::nullopt;
   }
   const auto isCandidate = [&](const std::string& aId, const endpoint_state& aEndpoint) {
-    return aEndpoint.mListed.mService == aService && !aEndpoint.mListed.mIsLeaving &&
+    return aEndpoint.mListed.mService == aService && !IsLeaving(aEndpoint) &&
            std::find(aExcluded.begin(), aExcluded.end(), aId) == aExcluded.end();
   };
   // A failing endpoint tends to have free slots. As long as there is a candidate that is not
@@ -276,6 +277,16 @@
   }
 }
 
+auto endpoint_table::OnLeavingAnswer(const std::string& aEndpoint, std::uint64_t aIncarnation)
+  -> bool
+{
+  const auto found = mEndpoints.find(aEndpoint);
+  if (found == mEndpoints.end() || found->second.mListed.mIncarnation != aIncarnation) {
+    return false;
+  }
+  return !std::exchange(found->second.mHasAnsweredLeaving, true);
+}
+
 auto endpoint_table::SetPeerLoads(const std::string& aPeer,
                                   const std::vector<endpoint_load>& aLoads) -> void
 {
@@ -340,7 +351,7 @@
 {
   auto earliest = std::optional<duration>();
   for (const auto& [id, endpoint] : mEndpoints) {
-    if (endpoint.mListed.mService != aService || endpoint.mListed.mIsLeaving) {
+    if (endpoint.mListed.mService != aService || IsLeaving(endpoint)) {
       continue;
     }
     const auto time =
--- a/packages/dispatch/tests/endpoint_table_test.cpp
+++ b/packages/dispatch/tests/endpoint_table_test.cpp
@@ -69,6 +69,24 @@
   CHECK(ChosenId(table, kStart, { "two" }) == "none");
 }
 
+TEST_CASE("an endpoint that has answered that it is leaving is not chosen until it restarts",
+          "[endpoint_table]")
+{
+  auto table = Table();
+  CHECK(!table.OnLeavingAnswer("one", 7));
+  REQUIRE(ChosenId(table, kStart) == "one");
+  CHECK(table.OnLeavingAnswer("one", 1));
+  CHECK(!table.OnLeavingAnswer("one", 1));
+  CHECK(ChosenId(table, kStart) == "two");
+  CHECK(ChosenId(table, kStart, { "two" }) == "none");
+
+  // The list may not show it yet.
+  table.Apply({ Listed("one"), Listed("two") }, kStart + 1s);
+  CHECK(ChosenId(table, kStart + 1s, { "two" }) == "none");
+  table.Apply({ Listed("one", 2), Listed("two") }, kStart + 2s);
+  CHECK(ChosenId(table, kStart + 2s, { "two" }) == "one");
+}
+
 TEST_CASE("an unreachable endpoint is avoided while another is available", "[endpoint_table]")
 {
   auto table = Table();
--- a/packages/gateway/include/bronzering/gateway/header_names.h
+++ b/packages/gateway/include/bronzering/gateway/header_names.h
@@ -31,6 +31,8 @@
   std::string mNotRun;
   /// Set by endpoints: the requests per second that the endpoint takes from all entries.
   std::string mRateLimit;
+  /// Set to 1 by an endpoint that is shutting down, in all its answers.
+  std::string mLeaving;
   /// Id of the last delivered event, set when a stream is resumed.
   std::string mLastEventId;
   /// Headers that are removed from callers' requests: those that the gateway sets itself, and those
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -275,7 +275,7 @@
     aResult = attempt_result::Unreachable;
     co_return execution_outcome::NotExecuted;
   }
-  RecordRateLimit(aCall, aAttempt);
+  RecordEndpointState(aCall, aAttempt);
   if (aCall.Fields().count(mState.mHeaderNames.mNotRun) > 0) {
     --mExecutions;
     aResult = attempt_result::Declined;
@@ -292,6 +292,19 @@
   co_return co_await RelayBuffered(aCall, aResult);
 }
 
+auto exchange::RecordEndpointState(const endpoint_call& aCall, const attempt& aAttempt) -> void
+{
+  RecordRateLimit(aCall, aAttempt);
+  const auto& endpoint = aAttempt.mEndpoint;
+  const auto isLeaving = aCall.Fields()[mState.mHeaderNames.mLeaving] == "1";
+  if (isLeaving && mState.mEndpoints.OnLeavingAnswer(endpoint.mId, endpoint.mIncarnation)) {
+    mState.mLog.Write(log_priority::Notable,
+                      "endpoint_answered_leaving",
+                      { { "endpoint", endpoint.mId }, { "request", mMetadata.mId } },
+                      ReadBootClock());
+  }
+}
+
 auto exchange::RecordRateLimit(const endpoint_call& aCall, const attempt& aAttempt) -> void
 {
   const auto now = ReadBootClock();
--- a/packages/gateway/tests/endpoint_failure_test.cpp
+++ b/packages/gateway/tests/endpoint_failure_test.cpp
@@ -116,6 +116,29 @@
   });
 }
 
+TEST_CASE("an endpoint gets no request after it has answered that it is leaving", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto leaving = scripted_endpoint(fixture.Context(), "e1", [](const http_request& aRequest) {
+    auto text = SealedAnswer(aRequest, "whole");
+    text.insert(text.find("\r\n") + 2, "Leaving: 1\r\n");
+    return reaction{ std::move(text), ending::Keep };
+  });
+  auto other = scripted_endpoint(fixture.Context(), "e2", CompleteAnswer);
+  fixture.Publish(TestDocument(), { leaving.Listed(), other.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    constexpr auto kRequests = 6;
+    for (auto request = 0; request < kRequests; ++request) {
+      auto text = RequestText("/once/x", "", "r" + std::to_string(request));
+      const auto answer = co_await fixture.Ask(std::move(text));
+      REQUIRE(answer);
+      CHECK(answer->mStatus == 200);
+    }
+    CHECK(leaving.Requests().size() == 1);
+    CHECK(other.Requests().size() == kRequests - 1);
+  });
+}
+
 TEST_CASE("a broken endpoint: a repeatable request is retried, another one is executed only once",
           "[entry_gateway]")
 {
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -127,6 +127,7 @@
   names.mResponseSeal = "Seal";
   names.mNotRun = "Not-Run";
   names.mRateLimit = "Rate-Limit";
+  names.mLeaving = "Leaving";
   names.mLastEventId = "Last-Event-Id";
   names.mReserved = { "Organisation", "Expected-Endpoint", "Engine-Hold" };
   return names;
