Give an endpoint the pause that it asks for with a 503

An endpoint that turns a request away with 503 may name a time for which it wants nothing from that entry. Entries avoided it for 50 ms only, and sent again.

Change: the endpoint's state in dispatch keeps until when it has asked this entry to pause; it isn't chosen before, also where all others are avoided or full. A refusal names the time until the first pause ends. The longest pause counts; it ends with the endpoint's incarnation, and after an hour at most. A value that cannot be read is logged and ignored.

Evidence: with the header ignored, the test's endpoint gets all 4 requests, with it one.

--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -78,6 +78,9 @@
 class endpoint_table
 {
 public:
+  /// Longest pause that an endpoint may ask for.
+  static constexpr auto kMaxPause = std::chrono::hours(1);
+
   struct choice
   {
     std::string mId;
@@ -124,6 +127,13 @@
   /// until it restarts. Returns false if that is known already, or the endpoint is not listed.
   auto OnLeavingAnswer(const std::string& aEndpoint, std::uint64_t aIncarnation) -> bool;
 
+  /// Records that an endpoint turned a request away and asks this entry to send it nothing for
+  /// aPause. Returns false if the endpoint is not listed. Precondition: 0 <= aPause <= kMaxPause.
+  auto OnPauseRequested(const std::string& aEndpoint,
+                        std::uint64_t aIncarnation,
+                        duration aPause,
+                        time_point aNow) -> bool;
+
   /// Replaces the peer's outstanding work. Endpoints missing from aLoads have none.
   auto SetPeerLoads(const std::string& aPeer, const std::vector<endpoint_load>& aLoads) -> void;
   /// Merges speeds measured by a peer. They are kept after DropPeer.
@@ -138,8 +148,8 @@
   /// Number of endpoints of a service whose rate limit leaves this entry no urgent request now.
   [[nodiscard]] auto RateLimitedCount(std::string_view aService, time_point aNow) const
     -> std::size_t;
-  /// Time until the rate limit of some endpoint of the service leaves this entry a request; zero if
-  /// there is one now, or none will come.
+  /// Time until some endpoint of the service takes a request of this entry again, as far as its
+  /// rate limit and the pause that it asked for tell; zero if one does now, or none will.
   [[nodiscard]] auto TimeToAdmission(std::string_view aService,
                                      slot_requirement aRequirement,
                                      time_point aNow) const -> duration;
@@ -160,6 +170,8 @@
     double mFailureRate = 0;
     /// Whether it has answered this entry that it is shutting down, whatever the list says.
     bool mHasAnsweredLeaving = false;
+    /// Until when it has asked this entry to send it nothing.
+    time_point mPausedUntil;
   };
   struct outstanding_request
   {
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -117,6 +117,7 @@
   }
   const auto isCandidate = [&](const std::string& aId, const endpoint_state& aEndpoint) {
     return aEndpoint.mListed.mService == aService && !IsLeaving(aEndpoint) &&
+           aEndpoint.mPausedUntil <= aNow &&
            std::find(aExcluded.begin(), aExcluded.end(), aId) == aExcluded.end();
   };
   // A failing endpoint tends to have free slots. As long as there is a candidate that is not
@@ -287,6 +288,21 @@
   return !std::exchange(found->second.mHasAnsweredLeaving, true);
 }
 
+auto endpoint_table::OnPauseRequested(const std::string& aEndpoint,
+                                      std::uint64_t aIncarnation,
+                                      duration aPause,
+                                      time_point aNow) -> bool
+{
+  assert(aPause >= duration::zero() && aPause <= kMaxPause);
+  const auto found = mEndpoints.find(aEndpoint);
+  if (found == mEndpoints.end() || found->second.mListed.mIncarnation != aIncarnation) {
+    return false;
+  }
+  auto& until = found->second.mPausedUntil;
+  until = std::max(until, aNow + aPause);
+  return true;
+}
+
 auto endpoint_table::SetPeerLoads(const std::string& aPeer,
                                   const std::vector<endpoint_load>& aLoads) -> void
 {
@@ -357,7 +373,8 @@
     const auto time =
       mRateLimits.TimeToAdmission(endpoint.mIncarnationKey, UsableShare(aRequirement), aNow);
     if (time) {
-      earliest = std::min(earliest.value_or(*time), *time);
+      const auto wait = std::max<duration>(*time, endpoint.mPausedUntil - aNow);
+      earliest = std::min(earliest.value_or(wait), wait);
     }
   }
   return earliest.value_or(duration::zero());
--- a/packages/dispatch/tests/endpoint_table_test.cpp
+++ b/packages/dispatch/tests/endpoint_table_test.cpp
@@ -87,6 +87,27 @@
   CHECK(ChosenId(table, kStart + 2s, { "two" }) == "one");
 }
 
+TEST_CASE("an endpoint that has asked for a pause is not chosen before its end, even alone",
+          "[endpoint_table]")
+{
+  auto table = Table();
+  constexpr auto kUrgent = slot_requirement::FreeSlotOrQueue;
+  CHECK(!table.OnPauseRequested("one", 7, 2s, kStart));
+  CHECK(table.OnPauseRequested("one", 1, 2s, kStart));
+  CHECK(ChosenId(table, kStart) == "two");
+  CHECK(table.TimeToAdmission("model", kUrgent, kStart) == 0s);
+  CHECK(table.OnPauseRequested("two", 1, 5s, kStart));
+  CHECK(ChosenId(table, kStart) == "none");
+  CHECK(table.TimeToAdmission("model", kUrgent, kStart) == 2s);
+
+  // A later, shorter pause does not end the first one.
+  CHECK(table.OnPauseRequested("one", 1, 100ms, kStart + 1s));
+  CHECK(ChosenId(table, kStart + 2s - 1ms) == "none");
+  CHECK(ChosenId(table, kStart + 2s) == "one");
+  table.Apply({ Listed("one", 2), Listed("two", 2) }, kStart + 2s);
+  CHECK(ChosenId(table, kStart + 2s, { "one" }) == "two");
+}
+
 TEST_CASE("an unreachable endpoint is avoided while another is available", "[endpoint_table]")
 {
   auto table = Table();
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -295,6 +295,7 @@
 auto exchange::RecordEndpointState(const endpoint_call& aCall, const attempt& aAttempt) -> void
 {
   RecordRateLimit(aCall, aAttempt);
+  RecordRequestedPause(aCall, aAttempt);
   const auto& endpoint = aAttempt.mEndpoint;
   const auto isLeaving = aCall.Fields()[mState.mHeaderNames.mLeaving] == "1";
   if (isLeaving && mState.mEndpoints.OnLeavingAnswer(endpoint.mId, endpoint.mIncarnation)) {
@@ -305,6 +306,32 @@
   }
 }
 
+auto exchange::RecordRequestedPause(const endpoint_call& aCall, const attempt& aAttempt) -> void
+{
+  const auto text = aCall.Fields()[http::field::retry_after];
+  if (aCall.Status() != 503 || text.empty()) {
+    return;
+  }
+  const auto now = ReadBootClock();
+  const auto& endpoint = aAttempt.mEndpoint;
+  const auto seconds = ParseDecimal({ text.data(), text.size() });
+  if (!seconds) {
+    mState.mLog.Write(log_priority::Notable,
+                      "requested_pause_malformed",
+                      { { "endpoint", endpoint.mId }, { "value", text } },
+                      now);
+    return;
+  }
+  const auto pause = FromSeconds(std::min(*seconds, ToSeconds(endpoint_table::kMaxPause)));
+  if (mState.mEndpoints.OnPauseRequested(endpoint.mId, endpoint.mIncarnation, pause, now)) {
+    mState.mLog.Write(
+      log_priority::Routine,
+      "endpoint_paused",
+      { { "endpoint", endpoint.mId }, { "request", mMetadata.mId }, { "pause_us", pause.count() } },
+      now);
+  }
+}
+
 auto exchange::RecordRateLimit(const endpoint_call& aCall, const attempt& aAttempt) -> void
 {
   const auto now = ReadBootClock();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -109,6 +109,7 @@
   /// Records the rate limit that the endpoint names in its answer.
   /// Records what the header of an answer says about the endpoint itself.
   auto RecordEndpointState(const endpoint_call& aCall, const attempt& aAttempt) -> void;
+  auto RecordRequestedPause(const endpoint_call& aCall, const attempt& aAttempt) -> void;
   auto RecordRateLimit(const endpoint_call& aCall, const attempt& aAttempt) -> void;
   /// Precondition: aDecision names an endpoint.
   auto LogDispatch(const dispatch_decision& aDecision) -> void;
--- a/packages/gateway/tests/endpoint_failure_test.cpp
+++ b/packages/gateway/tests/endpoint_failure_test.cpp
@@ -139,6 +139,31 @@
   });
 }
 
+TEST_CASE("an endpoint gets no request for the time that it has asked for with a 503",
+          "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto busy = scripted_endpoint(fixture.Context(), "e1", [](const http_request& aRequest) {
+    const auto id = aRequest["Request-Id"];
+    return reaction{ fmt::format("HTTP/1.1 503 Busy\r\nRequest-Id: {}\r\nNot-Run: 1\r\n"
+                                 "Retry-After: 60\r\nContent-Length: 0\r\n\r\n",
+                                 std::string_view(id.data(), id.size())),
+                     ending::Keep };
+  });
+  fixture.Publish(TestDocument(), { busy.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    constexpr auto kRequests = 4;
+    for (auto request = 0; request < kRequests; ++request) {
+      auto text = RequestText("/again/x", "", "r" + std::to_string(request));
+      const auto answer = co_await fixture.Ask(std::move(text));
+      REQUIRE(answer);
+      CHECK(answer->mStatus == 503);
+      CHECK(answer->mFields.count("Retry-After") == 1);
+    }
+    CHECK(busy.Requests().size() == 1);
+  });
+}
+
 TEST_CASE("a broken endpoint: a repeatable request is retried, another one is executed only once",
           "[entry_gateway]")
 {
