Use an endpoint that restarted with an earlier start time after a restore

After a restore of the store the start times that endpoints give decide which of two entries is newer. The clock of a VM may have stepped back before the restart of its endpoint: the new entry was then taken for the older one and kept out until it was removed.

--- a/packages/dispatch/include/bronzering/dispatch/published_items.h
+++ b/packages/dispatch/include/bronzering/dispatch/published_items.h
@@ -64,9 +64,10 @@
 /// source, a snapshot or change that is older than the copy is ignored.
 ///
 /// When the source is restored from an older copy, its new history replaces the old one, but what
-/// has taken effect stays in effect until the source catches up: an item whose owner's version is
-/// higher than the one in the new history is kept, and an item that had been removed before is
-/// withheld until its owner writes it again, or must have renewed it.
+/// has taken effect stays in effect until the source catches up. An item whose owner's version is
+/// higher than the one in the new history is kept. An item that had been removed before, or that
+/// another incarnation of its owner wrote, is withheld until its owner writes a later version, or
+/// must have renewed it: start times that owners give may be wrong.
 ///
 /// The owner of an item is the process that wrote it. An item with a lease expires, so that the
 /// source removes it, unless its owner renews it in time. During an outage of the source, items may
@@ -144,6 +145,9 @@
   /// Whether aItem replaces aHeld. Precondition: both have the same key.
   [[nodiscard]] auto Replaces(const published_item& aItem, const published_item& aHeld) const
     -> bool;
+  /// Whether different incarnations of the owner wrote the items. Precondition: the same key.
+  [[nodiscard]] auto IsOtherIncarnation(const published_item& aItem,
+                                        const published_item& aHeld) const -> bool;
   /// Whether a restored source lists an item as it was before its removal.
   [[nodiscard]] auto IsRemovedVersion(const published_item& aItem) const -> bool;
   [[nodiscard]] auto VersionOf(const published_item& aItem) const -> std::optional<owner_version>;
@@ -158,6 +162,7 @@
   bool mMayHaveExpired = false;
   /// Removed items by key, with the last version that was held.
   std::map<std::string, removal, std::less<>> mRemovals;
+  /// Items of the present history that what has taken effect before keeps out.
   std::map<std::string, published_item, std::less<>> mWithheld;
   source_position mPosition;
   bool mIsReachable = false;
--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -51,6 +51,9 @@
 {
   const auto found = mItems.find(aItem.mKey);
   if (found != mItems.end() && !Replaces(aItem, found->second)) {
+    if (aItem.mHistory > found->second.mHistory && IsOtherIncarnation(aItem, found->second)) {
+      mWithheld.insert_or_assign(aItem.mKey, aItem);
+    }
     return false;
   }
   // Only another write renews an item; a peer may have the same one.
@@ -73,12 +76,10 @@
                                    time_point aNow) -> bool
 {
   const auto key = std::string(aKey);
-  if (mWithheld.erase(key) > 0) {
-    return true;
-  }
+  const auto wasWithheld = mWithheld.erase(key) > 0;
   const auto found = mItems.find(key);
   if (found == mItems.end() || found->second.Position() > aPosition) {
-    return false;
+    return wasWithheld;
   }
   Remove(key, DefersRemovals(aNow), aNow);
   return true;
@@ -169,9 +170,9 @@
   }
   if (const auto version = VersionOf(found->second); version) {
     if (mRemovals.size() >= kMaxRemovals) {
-      mRemovals.erase(
-        std::min_element(mRemovals.begin(), mRemovals.end(), [](const auto& a, const auto& b) {
-          return a.second.mTime < b.second.mTime;
+      mRemovals.erase(std::min_element(
+        mRemovals.begin(), mRemovals.end(), [](const auto& aLeft, const auto& aRight) {
+          return aLeft.second.mTime < aRight.second.mTime;
         }));
     }
     mRemovals.insert_or_assign(aKey, removal{ *version, mPosition.mHistory, aNow });
@@ -192,6 +193,14 @@
   return aItem.Position() >= aHeld.Position();
 }
 
+auto published_items::IsOtherIncarnation(const published_item& aItem,
+                                         const published_item& aHeld) const -> bool
+{
+  const auto version = VersionOf(aItem);
+  const auto held = VersionOf(aHeld);
+  return version && held && version->mIncarnation != held->mIncarnation;
+}
+
 auto published_items::IsRemovedVersion(const published_item& aItem) const -> bool
 {
   const auto found = mRemovals.find(aItem.mKey);
--- a/packages/dispatch/tests/restored_source_test.cpp
+++ b/packages/dispatch/tests/restored_source_test.cpp
@@ -150,6 +150,26 @@
   }
 }
 
+// The clock of the endpoint's VM may have stepped back before the restart.
+TEST_CASE("a restarted endpoint with an earlier start time is used in the end", "[restored_source]")
+{
+  auto items = Items();
+  const auto now = kStart + 5s;
+  items.ApplySnapshot({ 12, { { "endpoint", "4.1 ready", 12, 2 } }, 2 }, item_origin::Source, now);
+  CHECK(ValueOf(items, "endpoint") == "5.9 leaving");
+  SECTION("once its owner must have renewed it")
+  {
+    CHECK(items.ApplyDeferredChanges(now + published_items::kLeaseExpiry));
+    CHECK(ValueOf(items, "endpoint") == "4.1 ready");
+  }
+  SECTION("unless it is removed before")
+  {
+    CHECK(items.ApplyRemoval("endpoint", { 2, 13 }, now + published_items::kRenewalGrace));
+    static_cast<void>(items.ApplyDeferredChanges(now + published_items::kLeaseExpiry));
+    CHECK(items.Find("endpoint") == nullptr);
+  }
+}
+
 // A peer that is cut off from the source still holds the old history.
 TEST_CASE("of an older history only later versions are taken from a peer", "[restored_source]")
 {
