--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -68,6 +68,8 @@
   auto RunMaintenance() -> boost::asio::awaitable<void>;
   auto DrainAndStop(duration aGrace) -> boost::asio::awaitable<void>;
   auto FetchFromPeer() -> boost::asio::awaitable<void>;
+  /// The peer whose items this entry should take, if its own source does not give it the latest.
+  [[nodiscard]] auto PeerToFetchFrom() const -> std::optional<std::string>;
   auto OnNewerPeerItems() -> void;
   auto AdoptDocument() -> void;
   auto AdoptEndpoints() -> void;
@@ -219,21 +221,23 @@
     boost::asio::detached);
 }
 
+auto entry_gateway::state::PeerToFetchFrom() const -> std::optional<std::string>
+{
+  // A peer may have a configuration that the source has lost, if the source was restored from an
+  // older copy.
+  if (mShared.mConfigurationLag.IsLate(ReadBootClock())) {
+    return mShared.mPeers.FindPeerWithConfigurationAbove(mShared.ConfigurationVersion());
+  }
+  const auto isSourceLate = !mShared.mItems.IsSourceReachable() || !mShared.mRoutes;
+  return isSourceLate ? mShared.mPeers.FindNewerPeer(mShared.mItems.Position()) : std::nullopt;
+}
+
 auto entry_gateway::state::FetchFromPeer() -> boost::asio::awaitable<void>
 {
   auto timer = boost::asio::steady_timer(mShared.mContext);
   timer.expires_after(kPeerFetchDelay);
   co_await timer.async_wait(kUseTuple);
-  // A peer may have a configuration that the source has lost, if the source was restored from an
-  // older copy.
-  const auto isConfigurationLate = mShared.mConfigurationLag.IsLate(ReadBootClock());
-  const auto isSourceLate = !mShared.mItems.IsSourceReachable() || !mShared.mRoutes;
-  const auto peer =
-    isConfigurationLate
-      ? mShared.mPeers.FindPeerWithConfigurationAbove(mShared.ConfigurationVersion())
-    : isSourceLate ? mShared.mPeers.FindNewerPeer(mShared.mItems.Position())
-                   : std::nullopt;
-  if (peer) {
+  if (const auto peer = PeerToFetchFrom(); peer) {
     auto address = *peer + ":" + std::to_string(mShared.mSettings.mOperatorPort);
     auto client =
       http_get_client(mShared.mContext.get_executor(), std::move(address), kMaxSnapshotBytes);
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -95,7 +95,7 @@
     mState.mEndpoints.SetPeerLoads(digest->mSender, digest->mLoads);
     mState.mEndpoints.SetPeerSpeeds(digest->mSpeeds);
     ReportPeerChanges(now);
-    ReportLateConfiguration(*digest, now);
+    UpdateConfigurationLag(*digest, now);
     mState.mDispatchWaiter.Wake();
     if (digest->mPosition > mState.mItems.Position() || mState.mConfigurationLag.IsLate(now)) {
       mOnNewerItems();
@@ -217,7 +217,7 @@
   }
 }
 
-auto peer_channel::ReportLateConfiguration(const peer_digest& aDigest, time_point aNow) -> void
+auto peer_channel::UpdateConfigurationLag(const peer_digest& aDigest, time_point aNow) -> void
 {
   auto& lag = mState.mConfigurationLag;
   const auto own = mState.ConfigurationVersion();
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -37,8 +37,9 @@
   /// Returns the totals that differ from those sent last.
   auto ChangedUsage(std::vector<organisation_usage> aTotals) -> std::vector<organisation_usage>;
   auto ReportPeerChanges(time_point aNow) -> void;
-  /// Logs once for each version that this entry lacks for long although a peer has it.
-  auto ReportLateConfiguration(const peer_digest& aDigest, time_point aNow) -> void;
+  /// Compares the configuration with the peer's, and logs once for each version that this entry
+  /// lacks for long although a peer has it.
+  auto UpdateConfigurationLag(const peer_digest& aDigest, time_point aNow) -> void;
   auto ReportRateLimits(const std::string& aPeer,
                         const std::vector<rate_limit_statement>& aChanged,
                         time_point aNow) -> void;
