Relay digests between availability zones through two speakers a zone pair

Cause: every entry sent its digest to every other one. The load of an endpoint was added up over all peers for each endpoint and waiting request.

Change: digest_exchange (out of peer_channel, without I/O) decides what is sent when and to whom; digest_relay passes digests on. Entries send their own digests within their zone only. For each other zone, two entries, by rendezvous hashing over the live peers, pass on what their zone has sent, one message a zone, to receivers in turn, which pass on what is new to their zone. The digests stay those of their senders, so nothing is added up twice and a dead entry is missed as before. Totals of the peers' loads are kept up to date as digests arrive. Datagrams with several digests fit the usual MTU.

Test: digest_exchange_test runs up to 70 entries in virtual time, with loss, kills, freezes and cuts.

--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -139,6 +139,9 @@
   /// Merges speeds measured by a peer. They are kept after DropPeer.
   auto SetPeerSpeeds(const std::vector<endpoint_speed>& aSpeeds) -> void;
   auto DropPeer(std::string_view aPeer) -> void;
+  /// Outstanding work of all entries at an endpoint, as this entry knows it; none if the endpoint
+  /// is not listed.
+  [[nodiscard]] auto KnownLoad(std::string_view aEndpoint) const -> endpoint_load;
   /// This entry's own outstanding work, for endpoints with outstanding requests.
   [[nodiscard]] auto OwnLoads() const -> std::vector<endpoint_load>;
   /// Speeds measured by this entry.
@@ -190,6 +193,8 @@
   {
     return aEndpoint.mListed.mIsLeaving || aEndpoint.mHasAnsweredLeaving;
   }
+  auto AddToPeerTotals(const std::vector<endpoint_load>& aLoads) -> void;
+  auto SubtractFromPeerTotals(const std::vector<endpoint_load>& aLoads) -> void;
   /// Outstanding work of this entry and its peers.
   [[nodiscard]] auto TotalLoad(const endpoint_state& aEndpoint) const -> endpoint_load;
   /// Speed measured by this entry, or by a peer where this entry has no measurement.
@@ -214,7 +219,10 @@
   std::map<std::string, service_spec, std::less<>> mServices;
   std::map<std::string, endpoint_state, std::less<>> mEndpoints;
   std::unordered_map<exchange_id, outstanding_request> mOutstanding;
-  std::map<std::string, std::unordered_map<endpoint_key, endpoint_load>, std::less<>> mPeerLoads;
+  std::map<std::string, std::vector<endpoint_load>, std::less<>> mPeerLoads;
+  /// Sums of mPeerLoads by endpoint, kept up to date so that a choice costs the same whatever the
+  /// number of peers.
+  std::unordered_map<endpoint_key, endpoint_load> mPeerTotals;
   std::unordered_map<endpoint_key, endpoint_speed> mPeerSpeeds;
 };
 
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include <bronzering/base/time.h>
-#include <bronzering/dispatch/endpoint_table.h>
-#include <bronzering/dispatch/fleet_rate_limiter.h>
-#include <bronzering/dispatch/prompt_quarantine.h>
+#include <bronzering/dispatch/endpoint_rate_limiter.h>
+#include <bronzering/dispatch/peer_digest.h>
 #include <bronzering/dispatch/source_position.h>
 
 #include <cstddef>
@@ -16,38 +15,6 @@
 
 namespace bronzering {
 
-/// State that an entry sends to its peers several times per second.
-struct peer_digest
-{
-  /// Numeric IP address of the sender.
-  std::string mSender;
-  /// Identifies one run of the sender; changes with every restart.
-  std::uint64_t mIncarnation = 0;
-  std::uint64_t mSequence = 0;
-  /// The sender is shutting down.
-  bool mIsLeaving = false;
-  /// Position of the sender's copy of the published items.
-  source_position mPosition;
-  /// Version of the configuration in force at the sender; 0 while it has none.
-  std::uint64_t mConfigurationVersion = 0;
-  /// The sender has been connected to the source of the items without interruption for at least
-  /// the grace period for expired items.
-  bool mIsSourceStable = false;
-  /// Requests per second that the sender's callers send.
-  double mDemand = 0;
-  std::vector<endpoint_load> mLoads;
-  /// Whether this is a full digest.
-  bool mIsFull = false;
-  /// Organisations whose total changed since the last digest; a full digest has all of them.
-  std::vector<organisation_usage> mOrganisationUsage;
-  /// Only in full digests and for a short time after a change.
-  std::vector<crash_evidence> mCrashEvidence;
-  std::vector<rate_limit_statement> mRateLimits;
-  /// Only in full digests: measured speeds, and the addresses of the sender's live peers.
-  std::vector<endpoint_speed> mSpeeds;
-  std::vector<std::string> mPeers;
-};
-
 /// Membership of the other entries, discovered through seeds and through the peers' own lists. A
 /// peer is live while its digests arrive. A peer that stops sending still counts as a member for a
 /// while, because it may run on the other side of a network partition. Not thread-safe: owned by
@@ -70,8 +37,15 @@
     std::string mPeer;
     bool mIsUp = false;
   };
+  struct live_peer
+  {
+    std::string mAddress;
+    zone_key mZone = kUnknownZone;
+    bool mIsLeaving = false;
+  };
 
-  explicit peer_table(std::string aSelf);
+  /// aZone is the availability zone of this entry.
+  explicit peer_table(std::string aSelf, zone_key aZone = kUnknownZone);
 
   /// Replaces the seeds. They may name entries that no longer run.
   auto SetSeeds(const std::vector<std::string>& aSeeds) -> void;
@@ -79,10 +53,14 @@
   [[nodiscard]] auto OnDigest(const peer_digest& aDigest, time_point aNow) -> bool;
   /// Updates timeouts and returns the peers that became live or timed out since the last call.
   [[nodiscard]] auto TakeChanges(time_point aNow) -> std::vector<change>;
-  /// Addresses to send digests to: all live peers, those that peers have listed since the last
-  /// call, at most kMaxNewCandidates, and one other known address, round-robin.
-  [[nodiscard]] auto Targets(time_point aNow) -> std::vector<std::string>;
-  [[nodiscard]] auto LivePeers() const -> std::vector<std::string>;
+  /// Addresses to send this entry's own digest to: all live peers of its availability zone and
+  /// those whose zone is unknown, those that peers have listed since the last call, at most
+  /// kMaxNewCandidates, and one other known address, round-robin.
+  [[nodiscard]] auto Targets() -> std::vector<std::string>;
+  [[nodiscard]] auto LivePeers() const -> std::vector<live_peer>;
+  /// The live peers in this entry's availability zone.
+  [[nodiscard]] auto ZonePeers() const -> std::vector<std::string>;
+  [[nodiscard]] auto LiveCount() const -> std::size_t;
   /// Number of entries: this one, live peers, and timed-out peers that may still run.
   [[nodiscard]] auto MemberCount() const -> std::size_t;
   /// The peers that MemberCount counts, with their last known demand.
@@ -106,6 +84,7 @@
     bool mIsLive = false;
     bool mIsLeaving = false;
     double mDemand = 0;
+    zone_key mZone = kUnknownZone;
     time_point mLastDigest;
   };
   /// An address listed by a peer.
@@ -116,6 +95,7 @@
   };
 
   std::string mSelf;
+  zone_key mZone;
   std::vector<std::string> mSeeds;
   std::map<std::string, peer_state, std::less<>> mPeers;
   /// Addresses listed by peers that have not sent a digest yet.
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -307,9 +307,35 @@
                                   const std::vector<endpoint_load>& aLoads) -> void
 {
   auto& loads = mPeerLoads[aPeer];
-  loads.clear();
+  SubtractFromPeerTotals(loads);
+  loads = aLoads;
+  AddToPeerTotals(loads);
+}
+
+auto endpoint_table::AddToPeerTotals(const std::vector<endpoint_load>& aLoads) -> void
+{
   for (const auto& load : aLoads) {
-    loads.emplace(load.mKey, load);
+    auto& total = mPeerTotals[load.mKey];
+    total.mRequests += load.mRequests;
+    total.mPromptTokens += load.mPromptTokens;
+    total.mOutputTokens += load.mOutputTokens;
+  }
+}
+
+auto endpoint_table::SubtractFromPeerTotals(const std::vector<endpoint_load>& aLoads) -> void
+{
+  for (const auto& load : aLoads) {
+    const auto found = mPeerTotals.find(load.mKey);
+    if (found == mPeerTotals.end()) {
+      continue; // An empty row, which a peer should not send, has no total.
+    }
+    auto& total = found->second;
+    total.mRequests -= load.mRequests;
+    total.mPromptTokens -= load.mPromptTokens;
+    total.mOutputTokens -= load.mOutputTokens;
+    if (total.mRequests == 0 && total.mPromptTokens == 0 && total.mOutputTokens == 0) {
+      mPeerTotals.erase(found);
+    }
   }
 }
 
@@ -323,10 +349,17 @@
 auto endpoint_table::DropPeer(std::string_view aPeer) -> void
 {
   if (const auto found = mPeerLoads.find(aPeer); found != mPeerLoads.end()) {
+    SubtractFromPeerTotals(found->second);
     mPeerLoads.erase(found);
   }
 }
 
+auto endpoint_table::KnownLoad(std::string_view aEndpoint) const -> endpoint_load
+{
+  const auto found = mEndpoints.find(aEndpoint);
+  return found == mEndpoints.end() ? endpoint_load() : TotalLoad(found->second);
+}
+
 auto endpoint_table::OwnLoads() const -> std::vector<endpoint_load>
 {
   auto loads = std::vector<endpoint_load>();
@@ -399,12 +432,10 @@
 auto endpoint_table::TotalLoad(const endpoint_state& aEndpoint) const -> endpoint_load
 {
   auto total = aEndpoint.mOwnLoad;
-  for (const auto& [peer, loads] : mPeerLoads) {
-    if (const auto found = loads.find(total.mKey); found != loads.end()) {
-      total.mRequests += found->second.mRequests;
-      total.mPromptTokens += found->second.mPromptTokens;
-      total.mOutputTokens += found->second.mOutputTokens;
-    }
+  if (const auto found = mPeerTotals.find(total.mKey); found != mPeerTotals.end()) {
+    total.mRequests += found->second.mRequests;
+    total.mPromptTokens += found->second.mPromptTokens;
+    total.mOutputTokens += found->second.mOutputTokens;
   }
   return total;
 }
--- a/packages/dispatch/src/peer_table.cpp
+++ b/packages/dispatch/src/peer_table.cpp
@@ -4,8 +4,9 @@
 
 namespace bronzering {
 
-peer_table::peer_table(std::string aSelf)
+peer_table::peer_table(std::string aSelf, zone_key aZone)
   : mSelf(std::move(aSelf))
+  , mZone(aZone)
 {
 }
 
@@ -34,15 +35,11 @@
   if (!peer.mIsLive) {
     mChanges.push_back({ aDigest.mSender, true });
   }
-  peer = peer_state{ aDigest.mIncarnation,
-                     aDigest.mSequence,
-                     aDigest.mPosition,
-                     aDigest.mConfigurationVersion,
-                     aDigest.mIsSourceStable,
-                     true,
-                     aDigest.mIsLeaving,
-                     aDigest.mDemand,
-                     aNow };
+  peer = peer_state{ aDigest.mIncarnation,    aDigest.mSequence,
+                     aDigest.mPosition,       aDigest.mConfigurationVersion,
+                     aDigest.mIsSourceStable, true,
+                     aDigest.mIsLeaving,      aDigest.mDemand,
+                     aDigest.mZone,           aNow };
   mCandidates.erase(aDigest.mSender);
   for (const auto& address : aDigest.mPeers) {
     if (address != mSelf && !mPeers.contains(address)) {
@@ -70,9 +67,14 @@
   return std::exchange(mChanges, {});
 }
 
-auto peer_table::Targets(time_point /*aNow*/) -> std::vector<std::string>
+auto peer_table::Targets() -> std::vector<std::string>
 {
-  auto targets = LivePeers();
+  auto targets = std::vector<std::string>();
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mIsLive && (peer.mZone == mZone || peer.mZone == kUnknownZone)) {
+      targets.push_back(address);
+    }
+  }
 
   // Entries that start together have to find each other before they share limits.
   auto contacted = std::size_t{ 0 };
@@ -106,17 +108,34 @@
   return targets;
 }
 
-auto peer_table::LivePeers() const -> std::vector<std::string>
+auto peer_table::LivePeers() const -> std::vector<live_peer>
 {
-  auto live = std::vector<std::string>();
+  auto live = std::vector<live_peer>();
   for (const auto& [address, peer] : mPeers) {
     if (peer.mIsLive) {
-      live.push_back(address);
+      live.push_back({ address, peer.mZone, peer.mIsLeaving });
     }
   }
   return live;
 }
 
+auto peer_table::ZonePeers() const -> std::vector<std::string>
+{
+  auto peers = std::vector<std::string>();
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mIsLive && peer.mZone == mZone) {
+      peers.push_back(address);
+    }
+  }
+  return peers;
+}
+
+auto peer_table::LiveCount() const -> std::size_t
+{
+  return static_cast<std::size_t>(std::count_if(
+    mPeers.begin(), mPeers.end(), [](const auto& aEntry) { return aEntry.second.mIsLive; }));
+}
+
 auto peer_table::MemberCount() const -> std::size_t
 {
   return 1 + mPeers.size();
--- a/packages/dispatch/tests/peer_table_test.cpp
+++ b/packages/dispatch/tests/peer_table_test.cpp
@@ -31,12 +31,12 @@
 {
   auto table = peer_table("10.0.0.1");
   table.SetSeeds({ "10.0.0.1", "10.0.0.2" });
-  CHECK(table.Targets(kStart) == std::vector<std::string>{ "10.0.0.2" });
+  CHECK(table.Targets() == std::vector<std::string>{ "10.0.0.2" });
 
   auto digest = Digest("10.0.0.2", 1, 1);
   digest.mPeers = { "10.0.0.1", "10.0.0.3" };
   REQUIRE(table.OnDigest(digest, kStart));
-  const auto targets = table.Targets(kStart);
+  const auto targets = table.Targets();
   CHECK(Contains(targets, "10.0.0.2"));
   CHECK(Contains(targets, "10.0.0.3"));
   CHECK(!Contains(targets, "10.0.0.1"));
@@ -51,12 +51,12 @@
     digest.mPeers.push_back("10.0.0." + std::to_string(host));
   }
   REQUIRE(table.OnDigest(digest, kStart));
-  const auto targets = table.Targets(kStart);
+  const auto targets = table.Targets();
   for (const auto& address : digest.mPeers) {
     CHECK(Contains(targets, address));
   }
   // Those that do not answer are tried again one by one.
-  CHECK(table.Targets(kStart).size() == 2);
+  CHECK(table.Targets().size() == 2);
 }
 
 TEST_CASE("outdated, duplicate and own digests are ignored", "[peer_table]")
@@ -94,7 +94,7 @@
   CHECK(table.LivePeers().empty());
   CHECK(table.MemberCount() == 2);
   // Digests are still sent to a peer that timed out.
-  CHECK(Contains(table.Targets(kStart + 2s), "10.0.0.2"));
+  CHECK(Contains(table.Targets(), "10.0.0.2"));
 
   static_cast<void>(table.TakeChanges(kStart + 2s + peer_table::kRemovalTimeout));
   CHECK(table.MemberCount() == 1);
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -176,7 +176,7 @@
     metrics.Gauge("bronzering_requests_waiting")
       .Set(static_cast<std::int64_t>(mShared.mDispatchWaiter.WaitingCount()));
     metrics.Gauge("bronzering_live_peers")
-      .Set(static_cast<std::int64_t>(mShared.mPeers.LivePeers().size()));
+      .Set(static_cast<std::int64_t>(mShared.mPeers.LiveCount()));
     metrics.Gauge("bronzering_items_revision")
       .Set(static_cast<std::int64_t>(mShared.mItems.Position().mRevision));
     metrics.Gauge("bronzering_configuration_version")
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -62,7 +62,7 @@
   aLine["revision"] = mState.mItems.Position().mRevision;
   aLine["history"] = mState.mItems.Position().mHistory;
   aLine["source_reachable"] = mState.mItems.IsSourceReachable();
-  aLine["live_peers"] = mState.mPeers.LivePeers().size();
+  aLine["live_peers"] = mState.mPeers.LiveCount();
   if (mDecision) {
     aLine["expected_us"] = Micros(mDecision->mExpected);
     aLine["allowed_us"] = Micros(mDecision->mAllowed);
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -50,7 +50,7 @@
     , mDispatchWaiter(aContext, mEndpoints)
     , mConnections(aContext)
     , mRateLimiter(mSettings.mQuotaTolerance)
-    , mPeers(mSettings.mAddress)
+    , mPeers(mSettings.mAddress, HashZone(mSettings.mAvailabilityZone))
     , mQuarantine(TrialDelay(mSettings.mAddress))
     , mCrashMonitor(aContext, mQuarantine, aLog, aMetrics)
     , mFirstDocumentAdopted(aContext)
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace bronzering {
 
@@ -19,6 +20,11 @@
     static_cast<std::uint64_t>(std::max<Wide>(aValue, 0)), std::numeric_limits<Narrow>::max()));
 }
 
+/// Marks the bytes of a peer::Relay.
+constexpr auto kRelayIdentifier = "BZRL";
+/// Largest datagram that carries several digests: what a path between zones takes in one piece.
+constexpr auto kMaxDatagramBytes = std::size_t{ 1'400 };
+
 auto ToNumber(const std::string& aAddress) -> std::uint32_t
 {
   auto error = boost::system::error_code();
@@ -36,18 +42,17 @@
   return { reinterpret_cast<const char*>(aBuilder.GetBufferPointer()), aBuilder.GetSize() };
 }
 
-/// The root table of a message; null when the bytes are malformed.
+/// The root table of a message; null when the bytes are malformed or lack the identifier.
 template<class Table>
-auto Verified(std::string_view aBytes) -> const Table*
+auto Verified(std::string_view aBytes, const char* aIdentifier = nullptr) -> const Table*
 {
   const auto* bytes = reinterpret_cast<const std::uint8_t*>(aBytes.data());
   auto verifier = flatbuffers::Verifier(bytes, aBytes.size());
-  return verifier.VerifyBuffer<Table>() ? flatbuffers::GetRoot<Table>(bytes) : nullptr;
+  return verifier.VerifyBuffer<Table>(aIdentifier) ? flatbuffers::GetRoot<Table>(bytes) : nullptr;
 }
 
-} // namespace
-
-auto EncodeDigest(const peer_digest& aDigest) -> std::string
+auto Write(flatbuffers::FlatBufferBuilder& aBuilder, const peer_digest& aDigest)
+  -> flatbuffers::Offset<peer::Digest>
 {
   auto loads = std::vector<peer::EndpointLoad>();
   for (const auto& load : aDigest.mLoads) {
@@ -90,67 +95,66 @@
 
   // Empty vectors are omitted to keep digests small.
   const auto orNull = [](const auto& aList) { return aList.empty() ? nullptr : &aList; };
-  auto builder = flatbuffers::FlatBufferBuilder();
-  builder.Finish(peer::CreateDigestDirect(builder,
-                                          ToNumber(aDigest.mSender),
-                                          aDigest.mIncarnation,
-                                          aDigest.mSequence,
-                                          aDigest.mIsLeaving,
-                                          aDigest.mPosition.mRevision,
-                                          orNull(loads),
-                                          orNull(spending),
-                                          orNull(peers),
-                                          orNull(speeds),
-                                          aDigest.mIsSourceStable,
-                                          orNull(crashEvidence),
-                                          orNull(rateLimits),
-                                          static_cast<float>(aDigest.mDemand),
-                                          aDigest.mIsFull,
-                                          aDigest.mConfigurationVersion,
-                                          aDigest.mPosition.mHistory));
-  return Finished(builder);
+  return peer::CreateDigestDirect(aBuilder,
+                                  ToNumber(aDigest.mSender),
+                                  aDigest.mIncarnation,
+                                  aDigest.mSequence,
+                                  aDigest.mIsLeaving,
+                                  aDigest.mPosition.mRevision,
+                                  orNull(loads),
+                                  orNull(spending),
+                                  orNull(peers),
+                                  orNull(speeds),
+                                  aDigest.mIsSourceStable,
+                                  orNull(crashEvidence),
+                                  orNull(rateLimits),
+                                  static_cast<float>(aDigest.mDemand),
+                                  aDigest.mIsFull,
+                                  aDigest.mConfigurationVersion,
+                                  aDigest.mPosition.mHistory,
+                                  aDigest.mZone);
 }
 
-auto DecodeDigest(std::string_view aBytes) -> std::optional<peer_digest>
+auto Read(const peer::Digest& aMessage) -> std::optional<peer_digest>
 {
-  const auto* message = Verified<peer::Digest>(aBytes);
-  if (message == nullptr || message->sender() == 0) {
+  if (aMessage.sender() == 0) {
     return std::nullopt;
   }
   auto digest = peer_digest();
-  digest.mSender = ToAddress(message->sender());
-  digest.mIncarnation = message->incarnation();
-  digest.mSequence = message->sequence();
-  digest.mIsLeaving = message->is_leaving();
-  digest.mPosition = { message->history(), message->revision() };
-  digest.mIsSourceStable = message->is_settled();
-  digest.mIsFull = message->is_full();
-  digest.mConfigurationVersion = message->configuration_version();
-  if (message->loads() != nullptr) {
-    for (const auto* load : *message->loads()) {
+  digest.mSender = ToAddress(aMessage.sender());
+  digest.mZone = aMessage.zone();
+  digest.mIncarnation = aMessage.incarnation();
+  digest.mSequence = aMessage.sequence();
+  digest.mIsLeaving = aMessage.is_leaving();
+  digest.mPosition = { aMessage.history(), aMessage.revision() };
+  digest.mIsSourceStable = aMessage.is_settled();
+  digest.mIsFull = aMessage.is_full();
+  digest.mConfigurationVersion = aMessage.configuration_version();
+  if (aMessage.loads() != nullptr) {
+    for (const auto* load : *aMessage.loads()) {
       digest.mLoads.push_back(
         { load->key(), load->requests(), load->prompt_tokens(), load->output_tokens() });
     }
   }
-  if (message->speeds() != nullptr) {
-    for (const auto* speed : *message->speeds()) {
+  if (aMessage.speeds() != nullptr) {
+    for (const auto* speed : *aMessage.speeds()) {
       digest.mSpeeds.push_back({ speed->key(),
                                  duration(speed->token_time_us()),
                                  static_cast<double>(speed->prompt_token_ns()) / 1000 });
     }
   }
-  if (message->spending() != nullptr) {
-    for (const auto* total : *message->spending()) {
+  if (aMessage.spending() != nullptr) {
+    for (const auto* total : *aMessage.spending()) {
       digest.mOrganisationUsage.push_back({ total->key(), total->total() });
     }
   }
-  if (message->peers() != nullptr) {
-    for (const auto address : *message->peers()) {
+  if (aMessage.peers() != nullptr) {
+    for (const auto address : *aMessage.peers()) {
       digest.mPeers.push_back(ToAddress(address));
     }
   }
-  if (message->crash_evidence() != nullptr) {
-    for (const auto* evidence : *message->crash_evidence()) {
+  if (aMessage.crash_evidence() != nullptr) {
+    for (const auto* evidence : *aMessage.crash_evidence()) {
       digest.mCrashEvidence.push_back({ evidence->part(),
                                         evidence->crash(),
                                         std::chrono::milliseconds(evidence->age_ms()),
@@ -159,9 +163,9 @@
   }
   // The numbers come from the network, so those that cannot be a rate are dropped.
   const auto isRate = [](double aNumber) { return std::isfinite(aNumber) && aNumber >= 0; };
-  digest.mDemand = isRate(message->demand_per_s()) ? message->demand_per_s() : 0;
-  if (message->rate_limits() != nullptr) {
-    for (const auto* statement : *message->rate_limits()) {
+  digest.mDemand = isRate(aMessage.demand_per_s()) ? aMessage.demand_per_s() : 0;
+  if (aMessage.rate_limits() != nullptr) {
+    for (const auto* statement : *aMessage.rate_limits()) {
       if (isRate(statement->limit_per_s())) {
         digest.mRateLimits.push_back(
           { statement->endpoint(),
@@ -173,6 +177,86 @@
   return digest;
 }
 
+/// About the number of bytes that a digest takes in a datagram.
+auto EstimatedSize(const peer_digest& aDigest) -> std::size_t
+{
+  constexpr auto kFixedBytes = std::size_t{ 144 };
+  return kFixedBytes + aDigest.mLoads.size() * sizeof(peer::EndpointLoad) +
+         aDigest.mSpeeds.size() * sizeof(peer::EndpointSpeed) +
+         aDigest.mOrganisationUsage.size() * sizeof(peer::Spending) +
+         aDigest.mCrashEvidence.size() * sizeof(peer::CrashEvidence) +
+         aDigest.mRateLimits.size() * sizeof(peer::EndpointRateLimit) +
+         aDigest.mPeers.size() * sizeof(std::uint32_t);
+}
+
+auto EncodeRelay(bool aIsBetweenZones, std::span<const peer_digest> aDigests) -> std::string
+{
+  auto builder = flatbuffers::FlatBufferBuilder();
+  auto digests = std::vector<flatbuffers::Offset<peer::Digest>>();
+  for (const auto& digest : aDigests) {
+    digests.push_back(Write(builder, digest));
+  }
+  builder.Finish(peer::CreateRelayDirect(builder, aIsBetweenZones, &digests), kRelayIdentifier);
+  return Finished(builder);
+}
+
+} // namespace
+
+auto EncodeDigests(digest_hop aHop, std::span<const peer_digest> aDigests)
+  -> std::vector<std::string>
+{
+  auto datagrams = std::vector<std::string>();
+  if (aHop == digest_hop::Direct) {
+    for (const auto& digest : aDigests) {
+      auto builder = flatbuffers::FlatBufferBuilder();
+      builder.Finish(Write(builder, digest));
+      datagrams.push_back(Finished(builder));
+    }
+    return datagrams;
+  }
+  const auto isBetweenZones = aHop == digest_hop::BetweenZones;
+  auto first = std::size_t{ 0 };
+  auto bytes = std::size_t{ 0 };
+  for (auto next = std::size_t{ 0 }; next < aDigests.size(); ++next) {
+    const auto size = EstimatedSize(aDigests[next]);
+    if (next > first && bytes + size > kMaxDatagramBytes) {
+      datagrams.push_back(EncodeRelay(isBetweenZones, aDigests.subspan(first, next - first)));
+      first = next;
+      bytes = 0;
+    }
+    bytes += size;
+  }
+  if (first < aDigests.size()) {
+    datagrams.push_back(EncodeRelay(isBetweenZones, aDigests.subspan(first)));
+  }
+  return datagrams;
+}
+
+auto DecodeDigests(std::string_view aBytes) -> std::optional<digest_message>
+{
+  auto message = digest_message();
+  if (const auto* relay = Verified<peer::Relay>(aBytes, kRelayIdentifier); relay != nullptr) {
+    message.mHop = relay->is_between_zones() ? digest_hop::BetweenZones : digest_hop::WithinZone;
+    if (relay->digests() != nullptr) {
+      for (const auto* digest : *relay->digests()) {
+        auto decoded = Read(*digest);
+        if (!decoded) {
+          return std::nullopt;
+        }
+        message.mDigests.push_back(std::move(*decoded));
+      }
+    }
+    return message;
+  }
+  const auto* single = Verified<peer::Digest>(aBytes);
+  auto decoded = single == nullptr ? std::nullopt : Read(*single);
+  if (!decoded) {
+    return std::nullopt;
+  }
+  message.mDigests.push_back(std::move(*decoded));
+  return message;
+}
+
 auto EncodeSnapshot(const published_snapshot& aSnapshot) -> std::string
 {
   auto builder = flatbuffers::FlatBufferBuilder();
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -23,8 +23,15 @@
   digest.mDemand = 12.5;
   digest.mRateLimits = { { 48, 4.3, 250ms }, { 49, std::nullopt, 0ms } };
   digest.mPeers = { "10.0.0.2" };
-  const auto decoded = DecodeDigest(EncodeDigest(digest));
-  REQUIRE(decoded);
+  digest.mZone = 78;
+  const auto datagrams = EncodeDigests(digest_hop::Direct, std::vector{ digest });
+  REQUIRE(datagrams.size() == 1);
+  const auto message = DecodeDigests(datagrams[0]);
+  REQUIRE(message);
+  CHECK(message->mHop == digest_hop::Direct);
+  REQUIRE(message->mDigests.size() == 1);
+  const auto* decoded = &message->mDigests[0];
+  CHECK(decoded->mZone == 78);
   CHECK(decoded->mSender == digest.mSender);
   CHECK(decoded->mIncarnation == 77);
   CHECK(decoded->mSequence == 5);
@@ -55,11 +62,38 @@
   auto digest = peer_digest();
   digest.mSender = "10.0.0.1";
   digest.mLoads = { { 42, 3, 5000, 700 } };
-  const auto bytes = EncodeDigest(digest);
-  CHECK(!DecodeDigest(""));
-  CHECK(!DecodeDigest("not a digest at all, but long enough to be read as one"));
+  const auto hop = GENERATE(digest_hop::Direct, digest_hop::BetweenZones, digest_hop::WithinZone);
+  const auto bytes = EncodeDigests(hop, std::vector{ digest }).at(0);
+  CHECK(!DecodeDigests(""));
+  CHECK(!DecodeDigests("not a digest at all, but long enough to be read as one"));
   for (auto length = std::size_t{ 1 }; length < bytes.size() / 2; ++length) {
-    CHECK(!DecodeDigest(std::string_view(bytes).substr(0, length)));
+    CHECK(!DecodeDigests(std::string_view(bytes).substr(0, length)));
+  }
+}
+
+TEST_CASE("relayed digests fit the path's MTU and keep their senders", "[peer_codec]")
+{
+  auto digests = std::vector<peer_digest>(20);
+  for (auto index = std::size_t{ 0 }; index < digests.size(); ++index) {
+    digests[index].mSender = "10.0.0." + std::to_string(index + 1);
+    digests[index].mLoads.resize(index % 7, endpoint_load{ 42, 3, 5000, 700 });
+  }
+  const auto hop = GENERATE(digest_hop::BetweenZones, digest_hop::WithinZone);
+  const auto datagrams = EncodeDigests(hop, digests);
+  CHECK(datagrams.size() > 1);
+  auto senders = std::vector<std::string>();
+  for (const auto& datagram : datagrams) {
+    CHECK(datagram.size() <= 1'472);
+    const auto message = DecodeDigests(datagram);
+    REQUIRE(message);
+    CHECK(message->mHop == hop);
+    for (const auto& digest : message->mDigests) {
+      senders.push_back(digest.mSender);
+    }
+  }
+  REQUIRE(senders.size() == digests.size());
+  for (auto index = std::size_t{ 0 }; index < digests.size(); ++index) {
+    CHECK(senders[index] == digests[index].mSender);
   }
 }
 
