Repeat crash evidence and rate limits at first hand only, once in each relayed message

Cause (read from the code, not shown by a log): an entry that merged a peer's evidence counted that as a change and repeated up to 48 rows in its next three digests, so each crash made all entries send all evidence to all others. A relayed message carried the same rows once for each digest in it.

Change: only what an entry has itself seen (a crash, an answer, a limit) starts repeats; full digests carry the rest as before. A relayed message carries each row once. Evidence counts also in a digest whose sender's later digest is known, since it is merged by its age.

--- a/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
+++ b/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
@@ -90,7 +90,11 @@
   /// Sets how many of the next digests carry crash evidence and statements on rate limits.
   auto UpdateRepeats() -> void;
   auto RepeatRateLimits() -> void;
-  auto Apply(const peer_digest& aDigest, time_point aNow, received& aReceived) -> void;
+  /// Applies what a digest says of endpoints. It is merged by its age, so it counts whatever other
+  /// digests of the sender are known.
+  auto ApplyEvidence(const peer_digest& aDigest, time_point aNow, received& aReceived) -> void;
+  /// Applies what a digest says of its sender.
+  auto Apply(const peer_digest& aDigest, time_point aNow) -> void;
 
   std::string mSelf;
   zone_key mZone;
@@ -102,10 +106,11 @@
   std::unordered_map<std::uint64_t, double> mSentTotals;
   /// How many of the next digests are full whatever their sequence.
   std::uint32_t mFullRepeats = 0;
-  /// prompt_quarantine::Changes at the last digest, and how many more digests repeat the evidence.
+  /// prompt_quarantine::OwnChanges at the last digest, and how many more digests repeat the
+  /// evidence.
   std::uint64_t mSentEvidenceChanges = 0;
   std::uint32_t mEvidenceRepeats = 0;
-  /// The same for endpoint_rate_limiter::Changes and the statements on rate limits.
+  /// The same for endpoint_rate_limiter::OwnChanges and the statements on rate limits.
   std::uint64_t mSentRateLimitChanges = 0;
   std::uint32_t mRateLimitRepeats = 0;
 };
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_rate_limiter.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_rate_limiter.h
@@ -105,8 +105,8 @@
   /// Statements for peers, at most aLimit. Consecutive calls go through all of them in turn.
   [[nodiscard]] auto TakeStatements(std::size_t aLimit, time_point aNow)
     -> std::vector<rate_limit_statement>;
-  /// Number of changes of known limits so far, including those by peers.
-  [[nodiscard]] auto Changes() const -> std::uint64_t { return mChanges; }
+  /// Number of changes of known limits so far by answers that this entry received.
+  [[nodiscard]] auto OwnChanges() const -> std::uint64_t { return mOwnChanges; }
   /// Number of endpoints with a known limit.
   [[nodiscard]] auto LimitedCount() const -> std::size_t;
   /// The id of a listed endpoint; empty if it is not listed.
@@ -146,7 +146,7 @@
   std::map<endpoint_incarnation_key, limit_state> mLimits;
   /// The last endpoint returned by TakeStatements.
   endpoint_incarnation_key mLastTaken = 0;
-  std::uint64_t mChanges = 0;
+  std::uint64_t mOwnChanges = 0;
 };
 
 } // namespace bronzering
--- a/packages/dispatch/include/bronzering/dispatch/peer_digest.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_digest.h
@@ -79,6 +79,10 @@
 /// the result misses nothing that a receiver of both would know. Thread-safe.
 auto MergeDigest(peer_digest& aKept, const peer_digest& aNewer) -> void;
 
+/// Removes crash evidence and statements on rate limits that an earlier digest of the list has too:
+/// they concern endpoints, whoever passes them on. Thread-safe.
+auto RemoveRepeatedEvidence(std::vector<peer_digest>& aDigests) -> void;
+
 /// Adds time that a digest has been held back to the ages that it states. Thread-safe.
 auto AddAge(peer_digest& aDigest, duration aAge) -> void;
 
--- a/packages/dispatch/include/bronzering/dispatch/prompt_quarantine.h
+++ b/packages/dispatch/include/bronzering/dispatch/prompt_quarantine.h
@@ -102,8 +102,8 @@
   /// Evidence for peers, of the parts with most crashes first, at most aLimit entries.
   [[nodiscard]] auto Evidence(std::size_t aLimit, time_point aNow) const
     -> std::vector<crash_evidence>;
-  /// Number of changes of the evidence so far, including those by peers.
-  [[nodiscard]] auto Changes() const -> std::uint64_t { return mChanges; }
+  /// Number of changes of the evidence so far by what this entry itself has seen.
+  [[nodiscard]] auto OwnChanges() const -> std::uint64_t { return mOwnChanges; }
   /// Number of parts that are suspected at present.
   [[nodiscard]] auto SuspectCount(time_point aNow) const -> std::size_t;
 
@@ -121,7 +121,8 @@
     time_point mNextTrial;
   };
 
-  auto Add(prompt_part_key aPart, const crash_record& aRecord) -> void;
+  /// Returns whether the evidence has changed.
+  auto Add(prompt_part_key aPart, const crash_record& aRecord) -> bool;
   auto MakeRoom(prompt_part_key aPart) -> void;
   [[nodiscard]] auto WasAnsweredSince(prompt_part_key aPart, time_point aSince) const -> bool;
   [[nodiscard]] auto IsSuspected(prompt_part_key aPart,
@@ -138,7 +139,7 @@
   double mTrialDelay;
   std::map<prompt_part_key, part_state> mParts;
   std::unordered_map<prompt_part_key, time_point> mLastAnswers;
-  std::uint64_t mChanges = 0;
+  std::uint64_t mOwnChanges = 0;
 };
 
 } // namespace bronzering
--- a/packages/dispatch/src/digest_exchange.cpp
+++ b/packages/dispatch/src/digest_exchange.cpp
@@ -39,10 +39,14 @@
 {
   auto result = received();
   for (auto& digest : aMessage.mDigests) {
+    if (digest.mSender == mSelf) {
+      continue;
+    }
+    ApplyEvidence(digest, aNow, result);
     if (!mParts.mPeers.OnDigest(digest, aNow)) {
       continue;
     }
-    Apply(digest, aNow, result);
+    Apply(digest, aNow);
     if (aMessage.mHop == digest_hop::Direct && digest.mZone == mZone) {
       mRelay.Keep(digest, aNow);
     }
@@ -121,13 +125,13 @@
 
 auto digest_exchange::UpdateRepeats() -> void
 {
-  if (mParts.mQuarantine.Changes() != mSentEvidenceChanges) {
-    mSentEvidenceChanges = mParts.mQuarantine.Changes();
+  if (mParts.mQuarantine.OwnChanges() != mSentEvidenceChanges) {
+    mSentEvidenceChanges = mParts.mQuarantine.OwnChanges();
     mEvidenceRepeats = kRepeats;
   }
   const auto& rateLimits = mParts.mEndpoints.RateLimits();
-  if (rateLimits.Changes() != mSentRateLimitChanges) {
-    mSentRateLimitChanges = rateLimits.Changes();
+  if (rateLimits.OwnChanges() != mSentRateLimitChanges) {
+    mSentRateLimitChanges = rateLimits.OwnChanges();
     RepeatRateLimits();
   }
 }
@@ -139,8 +143,17 @@
   mRateLimitRepeats = kRepeats * static_cast<std::uint32_t>(1 + limited / kMaxRateLimits);
 }
 
-auto digest_exchange::Apply(const peer_digest& aDigest, time_point aNow, received& aReceived)
-  -> void
+auto digest_exchange::ApplyEvidence(const peer_digest& aDigest,
+                                    time_point aNow,
+                                    received& aReceived) -> void
+{
+  mParts.mQuarantine.Merge(aDigest.mCrashEvidence, aNow);
+  for (auto& statement : mParts.mEndpoints.RateLimits().Merge(aDigest.mRateLimits, aNow)) {
+    aReceived.mRateLimits.push_back({ aDigest.mSender, statement });
+  }
+}
+
+auto digest_exchange::Apply(const peer_digest& aDigest, time_point aNow) -> void
 {
   auto& limiter = mParts.mRateLimiter;
   const auto isEstablished = aDigest.mSequence > kEstablishedSequence;
@@ -157,10 +170,6 @@
                           aDigest.mOrganisationUsage },
                         aNow);
   }
-  mParts.mQuarantine.Merge(aDigest.mCrashEvidence, aNow);
-  for (auto& statement : mParts.mEndpoints.RateLimits().Merge(aDigest.mRateLimits, aNow)) {
-    aReceived.mRateLimits.push_back({ aDigest.mSender, statement });
-  }
   mParts.mEndpoints.SetPeerLoads(aDigest.mSender, aDigest.mLoads);
   mParts.mEndpoints.SetPeerSpeeds(aDigest.mSpeeds);
 }
--- a/packages/dispatch/src/digest_relay.cpp
+++ b/packages/dispatch/src/digest_relay.cpp
@@ -51,6 +51,7 @@
     kept.push_back(std::move(entry.mDigest));
   }
   mKept.clear();
+  RemoveRepeatedEvidence(kept);
 
   auto messages = std::vector<addressed_digests>();
   for (const auto& [zone, entries] : otherZones) {
--- a/packages/dispatch/src/endpoint_rate_limiter.cpp
+++ b/packages/dispatch/src/endpoint_rate_limiter.cpp
@@ -59,7 +59,9 @@
   if (!aLimit && (found == mLimits.end() || aSent < found->second.mStated)) {
     return false;
   }
-  return Update(aEndpoint, aLimit, aNow, aNow);
+  const auto isChanged = Update(aEndpoint, aLimit, aNow, aNow);
+  mOwnChanges += isChanged ? 1 : 0;
+  return isChanged;
 }
 
 auto endpoint_rate_limiter::Merge(const std::vector<rate_limit_statement>& aStatements,
@@ -157,7 +159,6 @@
   if (!isChanged) {
     return false;
   }
-  ++mChanges;
   state.mLevel = LevelAt(state, aNow);
   if (!wasLimited) {
     // Buckets of different entries start at different levels, so that they do not all admit their
--- a/packages/dispatch/src/peer_digest.cpp
+++ b/packages/dispatch/src/peer_digest.cpp
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <map>
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace bronzering {
@@ -61,6 +64,26 @@
   aKept = std::move(merged);
 }
 
+auto RemoveRepeatedEvidence(std::vector<peer_digest>& aDigests) -> void
+{
+  auto evidenceSeen = std::set<std::tuple<prompt_part_key, crash_id, bool>>();
+  auto newestStatements = std::map<endpoint_incarnation_key, duration>();
+  for (const auto& digest : aDigests) {
+    for (const auto& statement : digest.mRateLimits) {
+      const auto newest = newestStatements.try_emplace(statement.mEndpoint, statement.mAge).first;
+      newest->second = std::min(newest->second, statement.mAge);
+    }
+  }
+  for (auto& digest : aDigests) {
+    std::erase_if(digest.mCrashEvidence, [&](const crash_evidence& aRow) {
+      return !evidenceSeen.emplace(aRow.mPart, aRow.mCrash, aRow.mIsRefuted).second;
+    });
+    std::erase_if(digest.mRateLimits, [&](const rate_limit_statement& aRow) {
+      return newestStatements.at(aRow.mEndpoint) < aRow.mAge;
+    });
+  }
+}
+
 auto AddAge(peer_digest& aDigest, duration aAge) -> void
 {
   for (auto& evidence : aDigest.mCrashEvidence) {
--- a/packages/dispatch/src/prompt_quarantine.cpp
+++ b/packages/dispatch/src/prompt_quarantine.cpp
@@ -47,7 +47,7 @@
                                 time_point aNow) -> void
 {
   for (const auto part : aParts) {
-    Add(part, { aCrash, aNow, false });
+    mOwnChanges += Add(part, { aCrash, aNow, false }) ? 1 : 0;
   }
 }
 
@@ -67,7 +67,7 @@
       continue;
     }
     for (auto& crash : found->second.mCrashes) {
-      mChanges += crash.mIsRefuted ? 0 : 1;
+      mOwnChanges += crash.mIsRefuted ? 0 : 1;
       crash.mIsRefuted = true;
     }
   }
@@ -78,7 +78,9 @@
   for (const auto& evidence : aEvidence) {
     const auto seen = aNow - evidence.mAge;
     const auto isRefuted = evidence.mIsRefuted || WasAnsweredSince(evidence.mPart, seen);
-    Add(evidence.mPart, { evidence.mCrash, seen, isRefuted });
+    const auto isChanged = Add(evidence.mPart, { evidence.mCrash, seen, isRefuted });
+    // Only what this entry adds to the evidence is news to the peers.
+    mOwnChanges += isChanged && isRefuted != evidence.mIsRefuted ? 1 : 0;
   }
 }
 
@@ -141,7 +143,7 @@
     }));
 }
 
-auto prompt_quarantine::Add(prompt_part_key aPart, const crash_record& aRecord) -> void
+auto prompt_quarantine::Add(prompt_part_key aPart, const crash_record& aRecord) -> bool
 {
   MakeRoom(aPart);
   auto& crashes = mParts[aPart].mCrashes;
@@ -151,19 +153,19 @@
   if (known != crashes.end()) {
     if (aRecord.mIsRefuted && !known->mIsRefuted) {
       known->mIsRefuted = true;
-      ++mChanges;
+      return true;
     }
-    return;
+    return false;
   }
   const auto after = std::find_if(crashes.begin(), crashes.end(), [&](const auto& aKnown) {
     return aKnown.mSeen < aRecord.mSeen;
   });
   if (after == crashes.end() && crashes.size() >= kMaxCrashes) {
-    return;
+    return false;
   }
   crashes.insert(after, aRecord);
   crashes.resize(std::min(crashes.size(), kMaxCrashes));
-  ++mChanges;
+  return true;
 }
 
 auto prompt_quarantine::MakeRoom(prompt_part_key aPart) -> void
--- a/packages/dispatch/tests/digest_exchange_test.cpp
+++ b/packages/dispatch/tests/digest_exchange_test.cpp
@@ -167,6 +167,27 @@
   }
 }
 
+// Every entry passed on every crash that it heard of, so a day with crashes carried several times
+// the bytes of a quiet one between zones.
+TEST_CASE("evidence of a crash reaches all entries, once in each message between zones",
+          "[digest_exchange]")
+{
+  auto fleet = digest_fleet(FleetOf(5, 8));
+  fleet.RunFor(kQuiet);
+  const auto before = fleet.MessagesBetweenZones();
+  const auto parts = std::vector<prompt_part_key>{ 1, 2, 3 };
+  for (auto crash = crash_id{ 1 }; crash <= 8; ++crash) {
+    fleet.At(0).mProcess->mQuarantine.OnCrash(crash, parts, fleet.Now());
+  }
+  fleet.RunFor(500ms);
+  const auto rows = std::size_t{ 8 * 3 };
+  for (auto index = std::size_t{ 0 }; index < fleet.Size(); ++index) {
+    CHECK(fleet.At(index).mProcess->mQuarantine.Evidence(100, fleet.Now()).size() == rows);
+  }
+  fleet.RunFor(500ms);
+  CHECK(fleet.EvidenceBetweenZones() <= rows * (fleet.MessagesBetweenZones() - before));
+}
+
 TEST_CASE("a newer configuration is known in all zones at once", "[digest_exchange]")
 {
   auto fleet = digest_fleet(FleetOf(5, 8));
--- a/packages/dispatch/tests/digest_fleet.cpp
+++ b/packages/dispatch/tests/digest_fleet.cpp
@@ -163,11 +163,12 @@
     }
     const auto& from = mEntries[aFrom];
     const auto& to = mEntries[found->second];
-    ++mMessages;
     const auto isBetweenZones = from.mZone != to.mZone;
     if (isBetweenZones) {
       ++mMessagesBetweenZones;
-      mDigestsBetweenZones += aMessage.mDigests.size();
+      for (const auto& digest : aMessage.mDigests) {
+        mEvidenceBetweenZones += digest.mCrashEvidence.size();
+      }
     }
     if (mRandom.Uniform01() < mOptions.mLoss ||
         (isBetweenZones && (from.mIsCutFromZones || to.mIsCutFromZones))) {
--- a/packages/dispatch/tests/digest_fleet.h
+++ b/packages/dispatch/tests/digest_fleet.h
@@ -77,8 +77,7 @@
   [[nodiscard]] auto WrongLoads() const -> std::size_t;
 
   [[nodiscard]] auto MessagesBetweenZones() const -> std::size_t { return mMessagesBetweenZones; }
-  [[nodiscard]] auto DigestsBetweenZones() const -> std::size_t { return mDigestsBetweenZones; }
-  [[nodiscard]] auto Messages() const -> std::size_t { return mMessages; }
+  [[nodiscard]] auto EvidenceBetweenZones() const -> std::size_t { return mEvidenceBetweenZones; }
 
 private:
   struct delivery
@@ -106,9 +105,8 @@
   std::map<std::string, std::map<std::uint64_t, time_point>> mMade;
   std::uint64_t mRuns = 0;
   std::uint64_t mExchanges = 0;
-  std::size_t mMessages = 0;
   std::size_t mMessagesBetweenZones = 0;
-  std::size_t mDigestsBetweenZones = 0;
+  std::size_t mEvidenceBetweenZones = 0;
 };
 
 } // namespace bronzering
