Serve and dispatch nothing for callers who have left

Cause: in a flood an entry reads requests over a second late. Its event loop had not yet seen that their callers were gone when it sent them on: a pooled connection lets a request go out before the coroutine that waits for the caller's disconnect runs for the first time.

Change: the caller's connection is asked (a peek, which the event loop's delay does not matter for) before a request is served, and again before it is dispatched. A caller who has left costs no admission, no place and no refusal.

Test: 'a request whose caller has left before it is read reaches no endpoint' failed before with 2 requests at the endpoint instead of 1.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -75,6 +75,11 @@
 
 auto exchange::Serve() -> boost::asio::awaitable<void>
 {
+  // In a flood, requests are read so late that their callers have left.
+  if (mResponseWriter.IsCallerGone()) {
+    Finish(exchange_end::CallerGone, 0, "caller closed the connection before it was served");
+    co_return;
+  }
   if (!co_await Admit()) {
     co_return;
   }
@@ -189,6 +194,11 @@
       co_return;
     }
 
+    if (mResponseWriter.IsCallerGone()) {
+      mState.mEndpoints.End(mId, attempt_result::Abandoned, ReadBootClock());
+      Finish(exchange_end::CallerGone, 0, "caller closed the connection before the dispatch");
+      co_return;
+    }
     const auto endpoint = *decision.mEndpoint;
     LogDispatch(decision);
     auto current = attempt{ endpoint, ReadBootClock(), 0, {} };
--- a/packages/gateway/src/response_writer.cpp
+++ b/packages/gateway/src/response_writer.cpp
@@ -1,5 +1,7 @@
 #include "response_writer.h"
 
+#include "socket_options.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -83,6 +85,11 @@
   co_return isWritten;
 }
 
+auto response_writer::IsCallerGone() -> bool
+{
+  return IsClosedByPeer(mSocket);
+}
+
 auto response_writer::FormatHeader(unsigned aStatus, const http::fields& aFields) const
   -> std::string
 {
--- a/packages/gateway/src/response_writer.h
+++ b/packages/gateway/src/response_writer.h
@@ -31,6 +31,8 @@
   auto ContinueStream(std::string_view aBytes) -> boost::asio::awaitable<bool>;
   auto FinishStream() -> boost::asio::awaitable<bool>;
 
+  /// Whether the caller is known to have disconnected.
+  [[nodiscard]] auto IsCallerGone() -> bool;
   [[nodiscard]] auto HasStarted() const -> bool { return mHasStarted; }
   [[nodiscard]] auto IsComplete() const -> bool { return mIsComplete; }
   /// Whether the connection can carry another request.
--- a/packages/gateway/src/socket_options.cpp
+++ b/packages/gateway/src/socket_options.cpp
@@ -16,6 +16,25 @@
 /// TCP_USER_TIMEOUT: a connection is closed when data stays unacknowledged for this long.
 constexpr auto kUserTimeout = std::chrono::milliseconds(3'000);
 
+enum class peeked
+{
+  Nothing,
+  Bytes,
+  End
+};
+
+auto Peek(boost::asio::ip::tcp::socket& aSocket) -> peeked
+{
+  auto byte = char();
+  const auto received =
+    ::recv(aSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+  if (received > 0) {
+    return peeked::Bytes;
+  }
+  const auto isOpen = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return isOpen ? peeked::Nothing : peeked::End;
+}
+
 } // namespace
 
 auto ConfigureSocket(boost::asio::ip::tcp::socket& aSocket) -> void
@@ -28,10 +47,12 @@
 
 auto IsOpenAndIdle(boost::asio::ip::tcp::socket& aSocket) -> bool
 {
-  auto byte = char();
-  const auto received =
-    ::recv(aSocket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return Peek(aSocket) == peeked::Nothing;
+}
+
+auto IsClosedByPeer(boost::asio::ip::tcp::socket& aSocket) -> bool
+{
+  return Peek(aSocket) == peeked::End;
 }
 
 auto AbortSocket(boost::asio::ip::tcp::socket& aSocket) -> void
--- a/packages/gateway/src/socket_options.h
+++ b/packages/gateway/src/socket_options.h
@@ -13,6 +13,10 @@
 /// longer acknowledges data.
 auto ConfigureSocket(boost::asio::ip::tcp::socket& aSocket) -> void;
 
+/// Whether the other side has closed or reset the connection, as far as it has nothing unread
+/// before that. Asks the operating system, so it holds also while the event loop is late.
+[[nodiscard]] auto IsClosedByPeer(boost::asio::ip::tcp::socket& aSocket) -> bool;
+
 /// Whether an idle connection is still open and has nothing to read.
 [[nodiscard]] auto IsOpenAndIdle(boost::asio::ip::tcp::socket& aSocket) -> bool;
 
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/write.hpp>
+
 using namespace bronzering;
 using namespace std::chrono_literals;
 using ending = scripted_endpoint::ending;
@@ -316,3 +318,28 @@
     CHECK(text.find("outcome=\"rejected\"} 1") != std::string::npos);
   });
 }
+
+// In a flood, requests were read over a second late and sent on though their callers had left.
+TEST_CASE("a request whose caller has left before it is read reaches no endpoint",
+          "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", CompleteAnswer);
+  fixture.Publish(TestDocument(), { endpoint.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    // Leaves a pooled connection to the endpoint, on which the next request could be sent at once.
+    auto first = RequestText("/again/x", "", "r1");
+    const auto answer = co_await fixture.Ask(std::move(first));
+    REQUIRE(answer);
+    REQUIRE(endpoint.Requests().size() == 1);
+
+    // All of this happens before the gateway runs again.
+    const auto abandoned = RequestText("/again/x", "", "r2");
+    auto caller = boost::asio::ip::tcp::socket(fixture.Context());
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), fixture.CallerPort() });
+    boost::asio::write(caller, boost::asio::buffer(abandoned));
+    caller.close();
+    co_await Pause(100ms);
+    CHECK(endpoint.Requests().size() == 1);
+  });
+}
