--- a/review/2/case.py
+++ b/review/2/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import random
 import sys
 import time
 
@@ -19,7 +20,7 @@
 async def case(deployment, trouble):
     routes = [route("orders", "/orders/", "shop", "unsafe", 1000, goal_ms=200)]
     await deployment.store.put("op/config", configuration(7, routes, {"shop": {}}))
-    workers = [await deployment.add_worker("shop", plain_service(0.06)) for _ in range(3)]
+    workers = [await deployment.add_worker("shop", plain_service(0.1)) for _ in range(3)]
     entries = [await deployment.add_entry(zone=zone) for zone in ("varna-a", "varna-b")]
     for entry in entries:
         await entry.wait_ready()
@@ -30,7 +31,7 @@
         await client.open()
         while not stopping.is_set():
             orders.append(await client.ask("/orders/box", deadline_ms=1000))
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(random.uniform(0.02, 0.06))
 
     tasks = [asyncio.create_task(requester(entry)) for entry in entries for _ in range(4)]
     await asyncio.sleep(5)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -367,7 +367,7 @@
         command = re.search(r'^\[roles\.entry\]\nrun = "(.*)"$', deploy, re.MULTILINE).group(1).split()
         if not (ROOT / command[0]).exists():
             raise CannotRun(f"{command[0]} is not built")
-        environment = {"PATH": os.environ.get("PATH", ""), "HOME": "/tmp", "LANG": "C.UTF-8",
+        environment = {"PATH": os.environ.get("PATH", ""), "HOME": str(self.settings.parent), "LANG": "C.UTF-8",
                        "BRONZERING_CONFIG": str(self.settings)}  # fmt: skip
         with open(self.log, "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
