End a process that still holds requests with status 0

Callers saw nothing more than a closed connection, but operators saw a crash: an entry that cut requests at the end of its shutdown ended with SIGSEGV, and the last log lines were lost.

Cause: the io_context, and the requests in it, were destroyed after the log had been closed, and each request writes its final line when it is destroyed. A log that is closed drops lines.

--- a/packages/log/include/bronzering/log/event_log.h
+++ b/packages/log/include/bronzering/log/event_log.h
@@ -45,7 +45,7 @@
              time_point aNow) -> void;
   /// Writes all queued lines and closes the log. Returns false if that takes longer than aTimeout,
   /// which means that the reader of the output has stalled and that returning from main would block
-  /// on it. May be called again; Write may not be called afterwards.
+  /// on it. May be called again. Lines that are written afterwards are dropped.
   [[nodiscard]] auto Close(std::chrono::milliseconds aTimeout) -> bool;
 
 private:
--- a/packages/log/src/event_log.cpp
+++ b/packages/log/src/event_log.cpp
@@ -61,6 +61,9 @@
                       boost::json::object aFields,
                       time_point aNow) -> void
 {
+  if (!mState->mLogger) {
+    return;
+  }
   // Once a second, reset the rate limits and report the number of dropped lines.
   if (aNow - mState->mWindowStart >= std::chrono::seconds(1)) {
     mState->mWindowStart = aNow;
