Start only work that can end before the process does in a shutdown

Callers who sent an order up to 5.5 s after SIGTERM had it passed on to an endpoint, and their connection closed at 7.04 s while the endpoint was at work.

Cause: requests were accepted by a fixed time since the stop request, whatever their timeout, and only on arrival; queued and retried ones were not checked. Change: shutdown_schedule compares the deadline, or early in the shutdown the expected end, with the time of the last answer, whenever a request is about to be sent. What may not start is refused with a true "not run". What is in progress at the end gets a final answer instead of a closed connection.

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -17,4 +17,5 @@
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/route_table.h>
 #include <bronzering/dispatch/routing_document.h>
+#include <bronzering/dispatch/shutdown_schedule.h>
 #include <bronzering/dispatch/source_position.h>
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -92,6 +92,8 @@
     duration mExpected{};
     /// All slots are in use, so the request would wait in the endpoint's own queue.
     bool mIsFull = false;
+    /// Expected time until the end of the response.
+    duration mExpectedEnd{};
   };
 
   /// aSelf is the address of this entry.
@@ -207,6 +209,10 @@
                                      const service_spec& aService,
                                      const endpoint_load& aTotal,
                                      const token_work& aWork) const -> duration;
+  /// Expected time in which a model generates the output of a request; zero for other services.
+  [[nodiscard]] auto ExpectedGeneration(const endpoint_state& aEndpoint,
+                                        const service_spec& aService,
+                                        const token_work& aWork) const -> duration;
   static auto AddFailure(endpoint_state& aEndpoint, duration aFirstAvoidance, time_point aNow)
     -> void;
   auto MeasurePrefillSpeed(endpoint_state& aEndpoint,
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -57,6 +57,11 @@
   return aOld == 0 ? aSample : aOld + aWeight * (aSample - aOld);
 }
 
+auto TokenTimeOf(const endpoint_speed& aSpeed) -> duration
+{
+  return aSpeed.mTokenTime == duration::zero() ? kDefaultTokenTime : aSpeed.mTokenTime;
+}
+
 auto UsableShare(slot_requirement aRequirement) -> rate_share
 {
   return aRequirement == slot_requirement::FreeSlot ? rate_share::Unreserved : rate_share::Whole;
@@ -158,7 +163,8 @@
     const auto cost = expected + endpoint.mHandicap;
     if (!best || cost < leastCost) {
       leastCost = cost;
-      best = choice{ listed.mId, listed.mIncarnation, listed.mAddress, expected, isFull };
+      const auto end = expected + ExpectedGeneration(endpoint, *service, aWork);
+      best = choice{ listed.mId, listed.mIncarnation, listed.mAddress, expected, isFull, end };
     }
   }
   return best;
@@ -489,8 +495,7 @@
   }
 
   // A slot becomes free when one of the running requests has generated its remaining output.
-  const auto tokenTime = static_cast<double>(
-    (speed.mTokenTime == duration::zero() ? kDefaultTokenTime : speed.mTokenTime).count());
+  const auto tokenTime = static_cast<double>(TokenTimeOf(speed).count());
   if (waiting > 0) {
     const auto meanRemaining =
       std::max(static_cast<double>(aTotal.mOutputTokens) / aTotal.mRequests,
@@ -506,6 +511,15 @@
   return duration(static_cast<duration::rep>(micros));
 }
 
+auto endpoint_table::ExpectedGeneration(const endpoint_state& aEndpoint,
+                                        const service_spec& aService,
+                                        const token_work& aWork) const -> duration
+{
+  return aService.mIsModel ? TokenTimeOf(EffectiveSpeed(aEndpoint)) *
+                               static_cast<duration::rep>(aWork.mOutputTokens)
+                           : duration::zero();
+}
+
 auto endpoint_table::AddFailure(endpoint_state& aEndpoint,
                                 duration aFirstAvoidance,
                                 time_point aNow) -> void
--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -55,6 +55,13 @@
   }
 }
 
+auto caller_session::OnStopRequested() -> void
+{
+  if (mExchange != nullptr) {
+    mExchange->OnStopRequested();
+  }
+}
+
 auto caller_session::AwaitRequest() -> boost::asio::awaitable<bool>
 {
   using namespace boost::asio::experimental::awaitable_operators;
@@ -124,10 +131,17 @@
 auto caller_session::ServeRequest(http_request aRequest) -> boost::asio::awaitable<bool>
 {
   using namespace boost::asio::experimental::awaitable_operators;
-  const auto keepsAlive = aRequest.keep_alive() && !mState.mIsStopping;
+  const auto keepsAlive = aRequest.keep_alive() && !mState.mShutdown.IsStopping();
   auto writer = response_writer(mSocket, keepsAlive, aRequest.version() < 11);
   {
+    // Resets mExchange also if the coroutine is destroyed.
+    struct exchange_guard
+    {
+      caller_session& mSession;
+      ~exchange_guard() { mSession.mExchange = nullptr; }
+    } guard{ *this };
     auto exchange = bronzering::exchange(mState, std::move(aRequest), writer);
+    mExchange = &exchange;
     co_await (exchange.Serve() || AwaitDisconnect());
   }
   if (!writer.IsComplete()) {
--- a/packages/gateway/src/caller_session.h
+++ b/packages/gateway/src/caller_session.h
@@ -13,6 +13,8 @@
 
 namespace bronzering {
 
+class exchange;
+
 /// One connection of a caller: reads and serves requests one after another, and detects that the
 /// caller disconnects. Control thread only; kept alive by its coroutine.
 class caller_session : public std::enable_shared_from_this<caller_session>
@@ -24,6 +26,8 @@
   auto Run() -> boost::asio::awaitable<void>;
   /// Closes the connection if no request is in progress on it.
   auto CloseIfIdle() -> void;
+  /// Records that the process was asked to stop.
+  auto OnStopRequested() -> void;
 
 private:
   auto AwaitRequest() -> boost::asio::awaitable<bool>;
@@ -43,6 +47,8 @@
   boost::beast::flat_buffer mInput;
   boost::asio::steady_timer mIdleTimer;
   bool mIsIdle = false;
+  /// The request in progress; null between requests.
+  exchange* mExchange = nullptr;
 };
 
 } // namespace bronzering
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -33,8 +33,6 @@
 /// Idle connections are closed this long after the stop request, when the load balancer has had
 /// time to notice that the entry is not ready.
 constexpr auto kCloseIdleAfterStop = duration(std::chrono::milliseconds(2'500));
-/// Share of the grace period after which the remaining connections are cut.
-constexpr auto kDrainShare = 0.88;
 constexpr auto kStopPollInterval = std::chrono::milliseconds(50);
 
 } // namespace
@@ -66,7 +64,8 @@
   auto Start() -> outcome<void>;
   auto AcceptCallers() -> boost::asio::awaitable<void>;
   auto RunMaintenance() -> boost::asio::awaitable<void>;
-  auto DrainAndStop(duration aGrace) -> boost::asio::awaitable<void>;
+  /// Ends the process when all callers have been answered, or at the end of the shutdown.
+  auto DrainAndStop() -> boost::asio::awaitable<void>;
   auto FetchFromPeer() -> boost::asio::awaitable<void>;
   /// The peer whose items this entry should take, if its own source does not give it the latest.
   [[nodiscard]] auto PeerToFetchFrom() const -> std::optional<std::string>;
@@ -186,13 +185,13 @@
   }
 }
 
-auto entry_gateway::state::DrainAndStop(duration aGrace) -> boost::asio::awaitable<void>
+auto entry_gateway::state::DrainAndStop() -> boost::asio::awaitable<void>
 {
   auto timer = boost::asio::steady_timer(mShared.mContext);
-  const auto end = mShared.mStopRequestedAt + FromSeconds(ToSeconds(aGrace) * kDrainShare);
+  const auto& shutdown = mShared.mShutdown;
   auto now = ReadBootClock();
-  while (now < end) {
-    if (now - mShared.mStopRequestedAt >= kCloseIdleAfterStop) {
+  while (now < shutdown.ProcessEnd()) {
+    if (shutdown.SinceRequest(now) >= kCloseIdleAfterStop) {
       for (const auto& session : mSessions) {
         session->CloseIfIdle();
       }
@@ -367,7 +366,7 @@
 auto entry_gateway::state::HandleReadinessRequest(std::string_view /*aTarget*/) const
   -> http_server_response
 {
-  const auto isReady = mShared.mRoutes && !mShared.mIsStopping;
+  const auto isReady = mShared.mRoutes && !mShared.mShutdown.IsStopping();
   return { isReady ? 200U : 503U, "text/plain", isReady ? "ready\n" : "not ready\n" };
 }
 
@@ -497,20 +496,19 @@
 auto entry_gateway::Stop() -> void
 {
   auto& shared = mState->mShared;
-  if (shared.mIsStopping) {
+  if (shared.mShutdown.IsStopping()) {
     return;
   }
-  shared.mIsStopping = true;
-  shared.mStopRequestedAt = ReadBootClock();
+  const auto now = ReadBootClock();
+  shared.mShutdown.Begin(now, shared.mSettings.mStopGrace);
   mState->mPeerChannel.AnnounceShutdown();
-  shared.mLog.Write(log_priority::Notable,
-                    "stopping",
-                    { { "sessions", mState->mSessions.size() } },
-                    shared.mStopRequestedAt);
+  shared.mLog.Write(
+    log_priority::Notable, "stopping", { { "sessions", mState->mSessions.size() } }, now);
+  for (const auto& session : mState->mSessions) {
+    session->OnStopRequested();
+  }
   boost::asio::co_spawn(
-    shared.mContext,
-    [self = mState]() { return self->DrainAndStop(self->mShared.mSettings.mStopGrace); },
-    boost::asio::detached);
+    shared.mContext, [self = mState]() { return self->DrainAndStop(); }, boost::asio::detached);
 }
 
 } // namespace bronzering
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -34,10 +34,7 @@
 constexpr auto kEventStallTimeout = duration(std::chrono::milliseconds(1'000));
 /// Maximum number of attempts of one request, including those that the endpoint declined.
 constexpr auto kMaxSends = 4U;
-/// During a shutdown, requests that arrive later than this after the stop request are refused,
-/// since they might not complete in time. Streams take longer and have an earlier cutoff.
-constexpr auto kStreamCutoffAfterStop = duration(std::chrono::milliseconds(2'800));
-constexpr auto kRequestCutoffAfterStop = duration(std::chrono::milliseconds(5'500));
+/// Another entry can serve a request at once that this one refuses because it is shutting down.
 constexpr auto kStoppingRetryAfter = duration(std::chrono::milliseconds(50));
 /// How long a request waits for the first routing document after a start.
 constexpr auto kConfigurationWait = duration(std::chrono::milliseconds(400));
@@ -51,6 +48,8 @@
 /// end, and several such answers have to fit into the entry's memory.
 constexpr auto kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 constexpr auto kMaxEventBytes = std::size_t{ 1 } * 1024 * 1024;
+/// Reason in answers and logs.
+constexpr auto kStoppingReason = std::string_view("shutting down");
 
 } // namespace
 
@@ -63,12 +62,18 @@
   , mMetadata(ReadRequestMetadata(aRequest, aState.mHeaderNames))
   , mRequest(std::move(aRequest))
   , mDeadline(mArrived)
+  , mExpiry(aState.mContext)
 {
 }
 
 exchange::~exchange()
 {
-  if (!mIsFinished) {
+  if (mIsFinished) {
+    return;
+  }
+  if (mState.mShutdown.IsStopping() && ReadBootClock() >= mState.mShutdown.ProcessEnd()) {
+    Finish(exchange_end::Cut, 0, "process ended");
+  } else {
     Finish(exchange_end::CallerGone, 0, "caller closed the connection");
   }
 }
@@ -83,17 +88,39 @@
   if (!co_await Admit()) {
     co_return;
   }
-  const auto isInTime = co_await WithTimeout(
-    [](exchange& aSelf) -> boost::asio::awaitable<bool> {
-      co_await aSelf.Run();
-      co_return true;
-    }(*this),
-    TimeLeft(ReadBootClock()));
-  if (isInTime || mIsFinished) {
-    co_return;
+  using namespace boost::asio::experimental::awaitable_operators;
+  const auto first = co_await (Run() || AwaitExpiry());
+  const auto hasExpired = first.index() == 1;
+  if (hasExpired && !mIsFinished) {
+    co_await AnswerExpired();
+  }
+}
+
+auto exchange::AwaitExpiry() -> boost::asio::awaitable<void>
+{
+  for (;;) {
+    const auto left = TimeLeft(ReadBootClock());
+    if (left == duration::zero()) {
+      co_return;
+    }
+    mExpiry.expires_after(left);
+    co_await mExpiry.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
+    if (cancellation.cancelled() != boost::asio::cancellation_type::none) {
+      co_return;
+    }
   }
+}
+
+auto exchange::AnswerExpired() -> boost::asio::awaitable<void>
+{
+  const auto isStopped = ReadBootClock() < mDeadline;
   if (mResponseWriter.HasStarted()) {
-    Finish(exchange_end::TimedOut, 0, "stream exceeded its time");
+    Finish(isStopped ? exchange_end::Cut : exchange_end::TimedOut,
+           0,
+           isStopped ? kStoppingReason : "stream exceeded its time");
+  } else if (isStopped) {
+    co_await AnswerStopping();
   } else if (mExecutions == 0) {
     co_await Refuse(503, "no endpoint within the deadline", {});
   } else {
@@ -102,6 +129,16 @@
   }
 }
 
+auto exchange::AnswerStopping() -> boost::asio::awaitable<void>
+{
+  mState.mMetrics.Counter("bronzering_shutdown_refusals_total").Add();
+  if (mExecutions == 0) {
+    co_await Refuse(503, kStoppingReason, kStoppingRetryAfter);
+  } else {
+    co_await Fail(502, kStoppingReason);
+  }
+}
+
 auto exchange::Admit() -> boost::asio::awaitable<bool>
 {
   // Without a routing document nothing can be authorised or routed. After a start the document
@@ -144,8 +181,8 @@
   mRank = { mOrganisation == nullptr ? 0 : mOrganisation->mPriority, mRoute->mPriority };
   mDeadline =
     mArrived + std::min(mRoute->mTimeout, mMetadata.mCallerTimeout.value_or(mRoute->mTimeout));
-  if (IsPastShutdownCutoff()) {
-    co_await Refuse(503, "shutting down", kStoppingRetryAfter);
+  if (!MayStart(duration::zero())) {
+    co_await AnswerStopping();
     co_return false;
   }
 
@@ -200,6 +237,12 @@
       co_return;
     }
     const auto endpoint = *decision.mEndpoint;
+    if (!MayStart(endpoint.mExpectedEnd)) {
+      mState.mEndpoints.End(mId, attempt_result::Abandoned, ReadBootClock());
+      mState.mDispatchWaiter.Wake();
+      co_await AnswerStopping();
+      co_return;
+    }
     LogDispatch(decision);
     auto current = attempt{ endpoint, ReadBootClock(), 0, {} };
     const auto outcome = co_await SendOnce(current, decision.mExpected);
@@ -393,7 +436,7 @@
     co_return execution_outcome::MayHaveExecuted;
   }
   if (isError && MayRetry() && mSends < kMaxSends &&
-      TimeLeft(ReadBootClock()) > mRoute->mObjective && TakeRetry()) {
+      TimeLeft(ReadBootClock()) > mRoute->mObjective && MayStart(duration::zero()) && TakeRetry()) {
     co_return execution_outcome::Retry;
   }
   mFirstEvent = ReadBootClock();
@@ -499,9 +542,9 @@
 {
   auto excluded = mTriedEndpoints;
   excluded.push_back(mLastEndpoint);
-  return mState.mEndpoints
-    .Choose(mService, mMetadata.mEstimatedWork, excluded, slot_requirement::FreeSlotOrQueue, aNow)
-    .has_value();
+  const auto other = mState.mEndpoints.Choose(
+    mService, mMetadata.mEstimatedWork, excluded, slot_requirement::FreeSlotOrQueue, aNow);
+  return other && MayStart(other->mExpectedEnd);
 }
 
 auto exchange::RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
@@ -576,24 +619,21 @@
   problem["title"] = aReason;
   problem["status"] = aStatus;
   problem["not_run"] = aIsNotExecuted ? boost::json::value(true) : boost::json::value("unknown");
-  if (mState.mIsStopping) {
+  if (mState.mShutdown.IsStopping()) {
     mResponseWriter.CloseAfterResponse();
   }
   co_await mResponseWriter.WriteComplete(aStatus, fields, boost::json::serialize(problem));
 }
 
-auto exchange::IsPastShutdownCutoff() const -> bool
+auto exchange::MayStart(duration aExpected) const -> bool
 {
-  if (!mState.mIsStopping) {
-    return false;
-  }
-  const auto since = mArrived - mState.mStopRequestedAt;
-  return since > (mRoute->mIsStream ? kStreamCutoffAfterStop : kRequestCutoffAfterStop);
+  return mState.mShutdown.MayStart({ mArrived, mDeadline, aExpected }, ReadBootClock());
 }
 
 auto exchange::TimeLeft(time_point aNow) const -> duration
 {
-  return std::max(duration::zero(), duration(mDeadline - aNow));
+  const auto end = mState.mShutdown.LimitDeadline(mDeadline);
+  return std::max(duration::zero(), duration(end - aNow));
 }
 
 auto exchange::MayRetry() const -> bool
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -61,6 +61,8 @@
 
   /// Serves the request within its route's timeout and the caller's deadline.
   auto Serve() -> boost::asio::awaitable<void>;
+  /// Records that the process was asked to stop: the request ends before the process does.
+  auto OnStopRequested() -> void { mExpiry.cancel(); }
 
 private:
   /// What an attempt means for the request.
@@ -98,6 +100,12 @@
 
   auto Admit() -> boost::asio::awaitable<bool>;
   auto Run() -> boost::asio::awaitable<void>;
+  /// Returns when no time is left.
+  auto AwaitExpiry() -> boost::asio::awaitable<void>;
+  /// Gives the request that Run has not answered in time its final answer.
+  auto AnswerExpired() -> boost::asio::awaitable<void>;
+  /// Answers a request that would outlast the process and is therefore not sent to an endpoint.
+  auto AnswerStopping() -> boost::asio::awaitable<void>;
   /// Makes one attempt. aExpected is the expected time until the first event, or until the response
   /// for services that are not models; the timeout of the stall timer is derived from it.
   auto SendOnce(attempt& aAttempt, duration aExpected) -> boost::asio::awaitable<execution_outcome>;
@@ -122,7 +130,7 @@
   auto ArmStallTimer(endpoint_call& aCall, duration aTimeout) -> void;
   /// Reports a stall of the endpoint, and aborts the attempt if the request can be retried now.
   auto OnStall(endpoint_call& aCall) -> void;
-  /// Whether an endpoint that has not been tried can take the request.
+  /// Whether an endpoint that has not been tried can take the request, and end it in time.
   [[nodiscard]] auto HasOtherEndpoint(time_point aNow) const -> bool;
 
   /// Refuses a request with a quarantined part.
@@ -142,9 +150,11 @@
                     bool aIsNotExecuted,
                     duration aRetryAfter) -> boost::asio::awaitable<void>;
 
-  /// Whether the request arrived so late after the stop request that it might not complete before
-  /// the process ends. Precondition: mRoute is set.
-  [[nodiscard]] auto IsPastShutdownCutoff() const -> bool;
+  /// Whether the request may be sent to an endpoint, unless the process ends before the response
+  /// does. aExpected is the expected time until the end of the response. Precondition: mRoute is
+  /// set.
+  [[nodiscard]] auto MayStart(duration aExpected) const -> bool;
+  /// Time until the request's deadline, or until the end of the process if that is earlier.
   [[nodiscard]] auto TimeLeft(time_point aNow) const -> duration;
   /// Whether the route allows another attempt.
   [[nodiscard]] auto MayRetry() const -> bool;
@@ -187,6 +197,8 @@
   request_rank mRank;
   /// The earlier of the route's timeout and the caller's deadline; set at admission.
   time_point mDeadline;
+  /// Runs until no time is left; cancelled when that changes.
+  boost::asio::steady_timer mExpiry;
 
   event_splitter mEvents;
   std::vector<std::string> mTriedEndpoints;
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -63,6 +63,9 @@
   aLine["history"] = mState.mItems.Position().mHistory;
   aLine["source_reachable"] = mState.mItems.IsSourceReachable();
   aLine["live_peers"] = mState.mPeers.LiveCount();
+  if (mState.mShutdown.IsStopping()) {
+    aLine["until_last_answer_us"] = Micros(mState.mShutdown.LastAnswer() - ReadBootClock());
+  }
   if (mDecision) {
     aLine["expected_us"] = Micros(mDecision->mExpected);
     aLine["allowed_us"] = Micros(mDecision->mAllowed);
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -12,6 +12,7 @@
 #include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/route_table.h>
+#include <bronzering/dispatch/shutdown_schedule.h>
 #include <bronzering/gateway/gateway_settings.h>
 #include <bronzering/gateway/header_names.h>
 #include <bronzering/log/event_log.h>
@@ -99,9 +100,7 @@
   /// Never expires; cancelled to wake its waiters when a routing document is adopted.
   boost::asio::steady_timer mFirstDocumentAdopted;
   std::uint64_t mExchangeCount = 0;
-  bool mIsStopping = false;
-  /// When the shutdown began. Valid only while mIsStopping is set.
-  time_point mStopRequestedAt;
+  shutdown_schedule mShutdown;
 };
 
 } // namespace bronzering
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -113,10 +113,8 @@
 {
   const auto now = ReadBootClock();
   const auto status = digest_exchange::entry_status{
-    mState.mIsStopping,
-    mState.mRoutes ? mState.mItems.Position() : source_position(),
-    mState.ConfigurationVersion(),
-    mState.mItems.IsSourceStable(now),
+    mState.mShutdown.IsStopping(), mState.mRoutes ? mState.mItems.Position() : source_position(),
+    mState.ConfigurationVersion(), mState.mItems.IsSourceStable(now),
     mState.mDemand.At(now),
   };
   for (const auto& message : mExchange.TakeMessages(status, now)) {
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -195,9 +195,11 @@
 
 gateway_fixture::gateway_fixture(std::string aAddress,
                                  std::vector<std::string> aSeeds,
-                                 std::optional<item_decoder> aDecoder)
+                                 std::optional<item_decoder> aDecoder,
+                                 duration aStopGrace)
   : mAddress(std::move(aAddress))
   , mDecoder(std::move(aDecoder))
+  , mStopGrace(aStopGrace)
 {
   mLog = std::make_unique<event_log>("test", mMetrics);
   // Another process may take a port before it is bound here.
@@ -229,7 +231,7 @@
   settings.mPeerPort = sPeerPort;
   settings.mOperatorPort = sPeerPort;
   settings.mSeeds = aSeeds;
-  settings.mStopGrace = std::chrono::seconds(30);
+  settings.mStopGrace = mStopGrace;
   mGateway = std::make_unique<entry_gateway>(*mContext,
                                              std::move(settings),
                                              TestHeaderNames(),
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -96,7 +96,8 @@
   /// aDecoder replaces the decoder of the items that Publish passes in.
   explicit gateway_fixture(std::string aAddress = "127.0.0.1",
                            std::vector<std::string> aSeeds = {},
-                           std::optional<item_decoder> aDecoder = {});
+                           std::optional<item_decoder> aDecoder = {},
+                           duration aStopGrace = std::chrono::seconds(30));
 
   /// Publishes a document and endpoints with a new revision.
   auto Publish(routing_document aDocument, std::vector<listed_endpoint> aEndpoints) -> void;
@@ -127,6 +128,7 @@
   std::unique_ptr<boost::asio::io_context> mContext = std::make_unique<boost::asio::io_context>(1);
   std::string mAddress;
   std::optional<item_decoder> mDecoder;
+  duration mStopGrace;
   std::uint16_t mCallerPort = 0;
   std::uint16_t mReadyPort = 0;
   std::shared_ptr<published> mPublished = std::make_shared<published>();
