Tell a broken connection to the source from an outage

Callers' orders went to an endpoint later than its drain time, and some were lost when it exited.

Cause: each failed call to the source, also one cut watch, counted as an outage, after which removals wait 2.2 s, counted anew with each further failure; the drain time is 2 s. Change: source_monitor classifies an interruption when the source answers again. After a mere loss of the connection removals take effect at once; where expiry is possible but uncertain they wait within the drain time; after an outage as before. Each expired item has its own time, which lost connections do not extend. The calls SetSourceReachable(true) and (false) of existing tests are now OnSourceAnswer and OnSourceFailure.

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -18,4 +18,5 @@
 #include <bronzering/dispatch/route_table.h>
 #include <bronzering/dispatch/routing_document.h>
 #include <bronzering/dispatch/shutdown_schedule.h>
+#include <bronzering/dispatch/source_monitor.h>
 #include <bronzering/dispatch/source_position.h>
--- a/packages/dispatch/include/bronzering/dispatch/published_items.h
+++ b/packages/dispatch/include/bronzering/dispatch/published_items.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/source_monitor.h>
 #include <bronzering/dispatch/source_position.h>
 
 #include <compare>
@@ -74,14 +75,17 @@
 /// thus expire although their owner is alive. After an outage, a removal therefore takes effect
 /// only after a grace period, unless a peer that stayed connected to the source confirms the copy.
 /// Until then the item stays in the copy as an expired item, also at peers that take it from here.
+/// The loss of a connection is no outage, and later interruptions extend the time of an item only
+/// if its owner was kept from renewing it.
 ///
 /// Not thread-safe: owned by the control thread.
 class published_items
 {
 public:
-  /// Grace period: time after the source becomes reachable again within which owners that are alive
-  /// write their expired items again.
-  static constexpr auto kRenewalGrace = std::chrono::milliseconds(2'200);
+  /// Longest grace period.
+  static constexpr auto kRenewalGrace = source_monitor::kRenewalGrace;
+  /// Longest time for which outages after each other can defer the removal of an item.
+  static constexpr auto kMaxDeferral = std::chrono::seconds(10);
   /// Time within which a restored source removes items that their owners do not renew.
   static constexpr auto kLeaseExpiry = std::chrono::seconds(10);
   /// How long a removed item is remembered, and how many are. The copy that the source is restored
@@ -89,7 +93,7 @@
   static constexpr auto kRemovalMemory = std::chrono::minutes(10);
   static constexpr std::size_t kMaxRemovals = 4'096;
 
-  explicit published_items(owner_version_reader aVersionOf = {});
+  explicit published_items(owner_version_reader aVersionOf = {}, source_bounds aBounds = {});
 
   /// Replaces all items by a snapshot from the source or from a peer. Of an outdated snapshot only
   /// what a peer has of later versions is used. Returns false if the snapshot was ignored.
@@ -102,22 +106,30 @@
   /// Sets the position after all changes up to it have been applied.
   auto AdvanceTo(source_position aPosition) -> void;
 
-  /// Records whether the source responds.
-  auto SetSourceReachable(bool aIsReachable, time_point aNow) -> void;
-  [[nodiscard]] auto IsSourceReachable() const -> bool { return mIsReachable; }
+  /// Records an answer of the source, after the items in it were applied. Returns what the
+  /// interruption was that it ends; empty if there was none.
+  auto OnSourceAnswer(time_point aNow) -> std::optional<source_interruption>;
+  /// Records a call to the source that failed.
+  auto OnSourceFailure(time_point aNow) -> void { mSource.OnFailure(aNow); }
+  [[nodiscard]] auto IsSourceReachable() const -> bool { return mSource.IsReachable(); }
 
   /// Whether the source has been reachable and in one history for the whole grace period.
   [[nodiscard]] auto IsSourceStable(time_point aNow) const -> bool
   {
-    return mIsReachable && aNow - mLastDisturbance >= kRenewalGrace;
+    return mSource.IsReachable() && aNow - mSource.LastDisturbance() >= kRenewalGrace;
   }
   /// Sets whether a peer with a stable connection to the source holds this position or a later one.
   auto SetConfirmedByPeer(bool aIsConfirmed) -> void { mIsConfirmedByPeer = aIsConfirmed; }
 
-  /// Removes the expired items (those whose removal was deferred) once removals are no longer
-  /// deferred, and adds the withheld items that their owners must have renewed since. Returns true
-  /// if any item was removed or added.
+  /// Removes the expired items (those whose removal was deferred) whose time is over, and adds the
+  /// withheld items that their owners must have renewed since. Returns true if any item was removed
+  /// or added.
   auto ApplyDeferredChanges(time_point aNow) -> bool;
+  /// When the next expired item is to be removed; empty if there is none or the source is
+  /// unreachable.
+  [[nodiscard]] auto NextRemoval() const -> std::optional<time_point>;
+  /// Number of expired items.
+  [[nodiscard]] auto DeferredCount() const -> std::size_t { return mDeferred.size(); }
 
   [[nodiscard]] auto Position() const -> source_position { return mPosition; }
   /// Returns null if there is no such item.
@@ -136,11 +148,20 @@
     time_point mTime;
   };
 
+  /// A removal that waits for its item to be renewed.
+  struct deferred_removal
+  {
+    time_point mSince;
+    /// Empty until the source answers.
+    std::optional<time_point> mDue;
+  };
+
   /// Whether a removal must wait: the source is unreachable, or it was restored or has become
   /// reachable again after an outage, the grace period is not over and no peer confirms the copy.
   [[nodiscard]] auto DefersRemovals(time_point aNow) const -> bool;
-  /// Removes the item now, or keeps it as an expired item until ApplyDeferredChanges removes it.
-  auto Remove(const std::string& aKey, bool aIsDeferred, time_point aNow) -> void;
+  /// Keeps the item as an expired item until aDue, or, while the source is unreachable, until its
+  /// next answer tells how long.
+  auto Defer(const std::string& aKey, time_point aDue, time_point aNow) -> void;
   auto Erase(const std::string& aKey, time_point aNow) -> void;
   /// Whether aItem replaces aHeld. Precondition: both have the same key.
   [[nodiscard]] auto Replaces(const published_item& aItem, const published_item& aHeld) const
@@ -158,19 +179,15 @@
   owner_version_reader mVersionOf;
 
   std::map<std::string, published_item, std::less<>> mItems;
-  /// Whether mItems may contain expired items.
-  bool mMayHaveExpired = false;
+  /// The expired items by key.
+  std::map<std::string, deferred_removal, std::less<>> mDeferred;
   /// Removed items by key, with the last version that was held.
   std::map<std::string, removal, std::less<>> mRemovals;
   /// Items of the present history that what has taken effect before keeps out.
   std::map<std::string, published_item, std::less<>> mWithheld;
   source_position mPosition;
-  bool mIsReachable = false;
-  /// Whether the source was restored, or became unreachable after it had been reachable.
-  bool mHadOutage = false;
+  source_monitor mSource;
   bool mIsConfirmedByPeer = false;
-  /// When the source last became reachable or unreachable, or its history was replaced.
-  time_point mLastDisturbance;
 };
 
 } // namespace bronzering
--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -6,8 +6,9 @@
 
 namespace bronzering {
 
-published_items::published_items(owner_version_reader aVersionOf)
+published_items::published_items(owner_version_reader aVersionOf, source_bounds aBounds)
   : mVersionOf(std::move(aVersionOf))
+  , mSource(aBounds)
 {
 }
 
@@ -21,9 +22,8 @@
   }
   // A new history may lack what was written shortly before, until it is written again.
   if (position.mHistory > mPosition.mHistory && !mItems.empty()) {
-    mHadOutage = true;
+    mSource.OnRestored(aNow);
     mIsConfirmedByPeer = false;
-    mLastDisturbance = aNow;
   }
   auto listed = std::set<std::string, std::less<>>();
   for (auto& item : aSnapshot.mItems) {
@@ -42,12 +42,16 @@
   AdvanceTo(position);
   const auto isDeferred = aOrigin == item_origin::Source && DefersRemovals(aNow);
   for (const auto& key : missing) {
-    Remove(key, isDeferred, aNow);
+    if (isDeferred) {
+      Defer(key, mSource.GraceEnd(), aNow);
+    } else {
+      Erase(key, aNow);
+    }
   }
   return true;
 }
 
-auto published_items::ApplyWrite(published_item aItem, time_point /*aNow*/) -> bool
+auto published_items::ApplyWrite(published_item aItem, time_point aNow) -> bool
 {
   const auto found = mItems.find(aItem.mKey);
   if (found != mItems.end() && !Replaces(aItem, found->second)) {
@@ -59,7 +63,6 @@
   // Only another write renews an item; a peer may have the same one.
   const auto isSameWrite = found != mItems.end() && found->second.Position() == aItem.Position();
   aItem.mIsExpired = aItem.mIsExpired || (isSameWrite && found->second.mIsExpired);
-  mMayHaveExpired = mMayHaveExpired || aItem.mIsExpired;
   auto key = aItem.mKey;
   if (found == mItems.end() && IsRemovedVersion(aItem)) {
     mWithheld.insert_or_assign(std::move(key), std::move(aItem));
@@ -67,6 +70,11 @@
   }
   mRemovals.erase(key);
   mWithheld.erase(key);
+  if (aItem.mIsExpired) {
+    mDeferred.try_emplace(key, deferred_removal{ aNow, aNow + mSource.MaxWait() });
+  } else {
+    mDeferred.erase(key);
+  }
   mItems.insert_or_assign(std::move(key), std::move(aItem));
   return true;
 }
@@ -81,7 +89,11 @@
   if (found == mItems.end() || found->second.Position() > aPosition) {
     return wasWithheld;
   }
-  Remove(key, DefersRemovals(aNow), aNow);
+  if (DefersRemovals(aNow)) {
+    Defer(key, std::min<time_point>(mSource.GraceEnd(), aNow + mSource.MaxWait()), aNow);
+  } else {
+    Erase(key, aNow);
+  }
   return true;
 }
 
@@ -90,14 +102,19 @@
   mPosition = std::max(mPosition, aPosition);
 }
 
-auto published_items::SetSourceReachable(bool aIsReachable, time_point aNow) -> void
+auto published_items::OnSourceAnswer(time_point aNow) -> std::optional<source_interruption>
 {
-  if (aIsReachable == mIsReachable) {
-    return;
+  const auto interruption = mSource.OnAnswer(aNow);
+  const auto graceEnd = std::max(aNow, mSource.GraceEnd());
+  for (auto& [key, waiting] : mDeferred) {
+    if (!waiting.mDue) {
+      waiting.mDue = graceEnd;
+    } else if (interruption == source_interruption::Outage) {
+      waiting.mDue = std::max(*waiting.mDue, graceEnd);
+    }
+    waiting.mDue = std::min<time_point>(*waiting.mDue, waiting.mSince + kMaxDeferral);
   }
-  mHadOutage = mHadOutage || mIsReachable;
-  mIsReachable = aIsReachable;
-  mLastDisturbance = aNow;
+  return interruption;
 }
 
 auto published_items::ApplyDeferredChanges(time_point aNow) -> bool
@@ -105,20 +122,20 @@
   std::erase_if(
     mRemovals, [aNow](const auto& aEntry) { return aNow - aEntry.second.mTime >= kRemovalMemory; });
   auto hasChanged = false;
-  if (mMayHaveExpired && !DefersRemovals(aNow)) {
-    auto expired = std::vector<std::string>();
-    for (const auto& [key, item] : mItems) {
-      if (item.mIsExpired) {
-        expired.push_back(key);
+  if (mSource.IsReachable()) {
+    auto due = std::vector<std::string>();
+    for (const auto& [key, waiting] : mDeferred) {
+      if (mIsConfirmedByPeer || (waiting.mDue && *waiting.mDue <= aNow)) {
+        due.push_back(key);
       }
     }
-    for (const auto& key : expired) {
+    for (const auto& key : due) {
       Erase(key, aNow);
     }
-    mMayHaveExpired = false;
-    hasChanged = !expired.empty();
+    hasChanged = !due.empty();
   }
-  if (!mWithheld.empty() && mIsReachable && aNow - mLastDisturbance >= kLeaseExpiry) {
+  if (!mWithheld.empty() && mSource.IsReachable() &&
+      aNow - mSource.LastDisturbance() >= kLeaseExpiry) {
     for (auto& [key, item] : std::exchange(mWithheld, {})) {
       mRemovals.erase(key);
       mItems.insert_or_assign(key, std::move(item));
@@ -128,6 +145,19 @@
   return hasChanged;
 }
 
+auto published_items::NextRemoval() const -> std::optional<time_point>
+{
+  auto next = std::optional<time_point>();
+  if (mSource.IsReachable()) {
+    for (const auto& [key, waiting] : mDeferred) {
+      if (waiting.mDue && (!next || *waiting.mDue < *next)) {
+        next = waiting.mDue;
+      }
+    }
+  }
+  return next;
+}
+
 auto published_items::Find(std::string_view aKey) const -> const published_item*
 {
   const auto found = mItems.find(aKey);
@@ -146,19 +176,15 @@
 
 auto published_items::DefersRemovals(time_point aNow) const -> bool
 {
-  return !mIsReachable ||
-         (mHadOutage && !mIsConfirmedByPeer && aNow - mLastDisturbance < kRenewalGrace);
+  return !mSource.IsReachable() || (!mIsConfirmedByPeer && aNow < mSource.GraceEnd());
 }
 
-auto published_items::Remove(const std::string& aKey, bool aIsDeferred, time_point aNow) -> void
+auto published_items::Defer(const std::string& aKey, time_point aDue, time_point aNow) -> void
 {
-  if (!aIsDeferred) {
-    Erase(aKey, aNow);
-    return;
-  }
   if (const auto found = mItems.find(aKey); found != mItems.end()) {
     found->second.mIsExpired = true;
-    mMayHaveExpired = true;
+    const auto due = mSource.IsReachable() ? std::optional(aDue) : std::nullopt;
+    mDeferred.try_emplace(aKey, deferred_removal{ aNow, due });
   }
 }
 
@@ -177,6 +203,7 @@
     }
     mRemovals.insert_or_assign(aKey, removal{ *version, mPosition.mHistory, aNow });
   }
+  mDeferred.erase(aKey);
   mItems.erase(found);
 }
 
@@ -225,6 +252,7 @@
         Replaces(item, found->second)) {
       // The sender's view of what has expired is outdated.
       item.mIsExpired = false;
+      mDeferred.erase(found->first);
       found->second = std::move(item);
       hasChanged = true;
     }
--- a/packages/dispatch/tests/published_items_test.cpp
+++ b/packages/dispatch/tests/published_items_test.cpp
@@ -12,7 +12,7 @@
 auto Items() -> published_items
 {
   auto items = published_items();
-  items.SetSourceReachable(true, kStart);
+  items.OnSourceAnswer(kStart);
   items.ApplySnapshot(
     { 10, { { "document", "v1", 4 }, { "endpoint", "e", 9 } } }, item_origin::Source, kStart);
   return items;
@@ -46,8 +46,8 @@
           "[published_items]")
 {
   auto items = Items();
-  items.SetSourceReachable(false, kStart);
-  items.SetSourceReachable(true, kStart + 5s);
+  items.OnSourceFailure(kStart);
+  items.OnSourceAnswer(kStart + 5s);
   items.ApplyRemoval("endpoint", { 0, 20 }, kStart + 5s);
   CHECK(items.Find("endpoint") != nullptr);
   CHECK(!items.ApplyDeferredChanges(kStart + 6s));
@@ -71,8 +71,8 @@
           "[published_items]")
 {
   auto items = Items();
-  items.SetSourceReachable(false, kStart);
-  items.SetSourceReachable(true, kStart + 5s);
+  items.OnSourceFailure(kStart);
+  items.OnSourceAnswer(kStart + 5s);
   items.ApplyRemoval("endpoint", { 0, 20 }, kStart + 5s);
 
   SECTION("a removal that was deferred")
@@ -89,7 +89,7 @@
   }
   SECTION("no removal while the source is unreachable")
   {
-    items.SetSourceReachable(false, kStart + 6s);
+    items.OnSourceFailure(kStart + 6s);
     items.SetConfirmedByPeer(true);
     CHECK(!items.ApplyDeferredChanges(kStart + 6s));
   }
@@ -102,8 +102,8 @@
   auto second = Items();
   const auto back = kStart + 5s;
   for (auto* items : { &first, &second }) {
-    items->SetSourceReachable(false, kStart);
-    items->SetSourceReachable(true, back);
+    items->OnSourceFailure(kStart);
+    items->OnSourceAnswer(back);
     items->ApplySnapshot({ 20, { { "document", "v1", 4 } } }, item_origin::Source, back);
     REQUIRE(items->Find("endpoint") != nullptr);
   }
@@ -116,7 +116,7 @@
   {
     auto third = published_items();
     REQUIRE(third.ApplySnapshot(first.Snapshot(), item_origin::Peer, back));
-    third.SetSourceReachable(true, back);
+    third.OnSourceAnswer(back);
     CHECK(third.ApplyDeferredChanges(back + published_items::kRenewalGrace));
     CHECK(third.Find("endpoint") == nullptr);
   }
@@ -126,12 +126,12 @@
 {
   auto items = published_items();
   CHECK(!items.IsSourceStable(kStart));
-  items.SetSourceReachable(true, kStart);
+  items.OnSourceAnswer(kStart);
   CHECK(!items.IsSourceStable(kStart + 1s));
   CHECK(items.IsSourceStable(kStart + published_items::kRenewalGrace));
-  items.SetSourceReachable(false, kStart + 10s);
+  items.OnSourceFailure(kStart + 10s);
   CHECK(!items.IsSourceStable(kStart + 20s));
-  items.SetSourceReachable(true, kStart + 20s);
+  items.OnSourceAnswer(kStart + 20s);
   CHECK(!items.IsSourceStable(kStart + 21s));
 }
 
@@ -156,7 +156,7 @@
           "[published_items]")
 {
   auto items = Items();
-  items.SetSourceReachable(false, kStart);
+  items.OnSourceFailure(kStart);
   CHECK(items.ApplySnapshot({ 12, { { "document", "v1", 4 } } }, item_origin::Peer, kStart + 1s));
   CHECK(items.Find("endpoint") == nullptr);
 }
--- a/packages/dispatch/tests/restored_source_test.cpp
+++ b/packages/dispatch/tests/restored_source_test.cpp
@@ -23,7 +23,7 @@
 auto Items() -> published_items
 {
   auto items = published_items(VersionOf);
-  items.SetSourceReachable(true, kStart);
+  items.OnSourceAnswer(kStart);
   items.ApplySnapshot(
     { 20, { { "document", "0.7", 18, 1 }, { "endpoint", "5.9 leaving", 20, 1 } }, 1 },
     item_origin::Source,
@@ -174,7 +174,7 @@
 TEST_CASE("of an older history only later versions are taken from a peer", "[restored_source]")
 {
   auto items = published_items(VersionOf);
-  items.SetSourceReachable(true, kStart);
+  items.OnSourceAnswer(kStart);
   items.ApplySnapshot({ 12, { { "document", "0.6", 3, 2 }, { "endpoint", "5.1 ready", 4, 2 } }, 2 },
                       item_origin::Source,
                       kStart);
--- a/packages/gateway/include/bronzering/gateway/gateway_settings.h
+++ b/packages/gateway/include/bronzering/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 #include <bronzering/base/time.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
+#include <bronzering/dispatch/source_monitor.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -28,6 +29,8 @@
   std::uint16_t mOperatorPort = 0;
   /// Addresses used to discover the other entries; some may be stale.
   std::vector<std::string> mSeeds;
+  /// What the source of published items guarantees.
+  source_bounds mSourceBounds;
   retry_limits mRetryLimits;
   quota_tolerance mQuotaTolerance;
   /// Time from the stop request until the process must have ended.
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -53,6 +53,7 @@
               aMetrics)
     , mDecoder(std::move(aDecoder))
     , mPeerChannel(mShared, [this] { OnNewerPeerItems(); })
+    , mRemovalTimer(aContext)
     , mCallerAcceptor(aContext)
     , mReadinessServer(aContext,
                        [this](std::string_view aTarget) { return HandleReadinessRequest(aTarget); })
@@ -70,6 +71,8 @@
   /// The peer whose items this entry should take, if its own source does not give it the latest.
   [[nodiscard]] auto PeerToFetchFrom() const -> std::optional<std::string>;
   auto OnNewerPeerItems() -> void;
+  /// Applies the changes of items whose time has come, now and whenever the next one is due.
+  auto ApplyDeferredChanges() -> void;
   auto AdoptDocument() -> void;
   auto AdoptEndpoints() -> void;
   /// Logs that items of the source were ignored because the copy has later ones.
@@ -83,6 +86,7 @@
   gateway_state mShared;
   item_decoder mDecoder;
   peer_channel mPeerChannel;
+  boost::asio::steady_timer mRemovalTimer;
   boost::asio::ip::tcp::acceptor mCallerAcceptor;
   http_get_server mReadinessServer;
   http_get_server mOperatorServer;
@@ -155,10 +159,7 @@
     timer.expires_after(kMaintenanceInterval);
     co_await timer.async_wait(kUseTuple);
     const auto now = ReadBootClock();
-    mShared.mItems.SetConfirmedByPeer(mShared.mPeers.IsConfirmedByPeer(mShared.mItems.Position()));
-    if (mShared.mItems.ApplyDeferredChanges(now)) {
-      AdoptEndpoints();
-    }
+    ApplyDeferredChanges();
     auto endpoints = std::vector<std::string>();
     for (const auto& endpoint : mShared.mEndpoints.Endpoints()) {
       endpoints.push_back(endpoint.mId);
@@ -185,6 +186,26 @@
   }
 }
 
+auto entry_gateway::state::ApplyDeferredChanges() -> void
+{
+  auto& items = mShared.mItems;
+  const auto now = ReadBootClock();
+  items.SetConfirmedByPeer(mShared.mPeers.IsConfirmedByPeer(items.Position()));
+  if (items.ApplyDeferredChanges(now)) {
+    AdoptEndpoints();
+  }
+  mShared.mMetrics.Gauge("bronzering_deferred_removals")
+    .Set(static_cast<std::int64_t>(items.DeferredCount()));
+  if (const auto next = items.NextRemoval()) {
+    mRemovalTimer.expires_after(std::max(duration::zero(), duration(*next - now)));
+    mRemovalTimer.async_wait([self = shared_from_this()](boost::system::error_code aError) {
+      if (!aError) {
+        self->ApplyDeferredChanges();
+      }
+    });
+  }
+}
+
 auto entry_gateway::state::DrainAndStop() -> boost::asio::awaitable<void>
 {
   auto timer = boost::asio::steady_timer(mShared.mContext);
@@ -457,15 +478,19 @@
   }
   const auto sinceAnswer = shared.SinceSourceAnswer(now);
   shared.mLastSourceAnswer = now;
-  if (shared.mItems.IsSourceReachable()) {
-    return;
+  const auto interruption = shared.mItems.OnSourceAnswer(now);
+  if (interruption) {
+    shared.mLog.Write(log_priority::Notable,
+                      "platform_regained",
+                      { { "revision", shared.mItems.Position().mRevision },
+                        { "interruption", kSourceInterruptionNames.NameOf(*interruption) },
+                        { "removals_deferred", shared.mItems.DeferredCount() },
+                        { "since_answer_us", sinceAnswer.count() } },
+                      now);
+  }
+  if (shared.mItems.DeferredCount() > 0) {
+    mState->ApplyDeferredChanges();
   }
-  shared.mItems.SetSourceReachable(true, now);
-  shared.mLog.Write(log_priority::Notable,
-                    "platform_regained",
-                    { { "revision", shared.mItems.Position().mRevision },
-                      { "since_answer_us", sinceAnswer.count() } },
-                    now);
 }
 
 auto entry_gateway::OnSourceFailure(source_failure aFailure) -> void
@@ -475,11 +500,12 @@
   shared.mMetrics
     .Counter("bronzering_source_failures_total", "reason=\"" + std::string(name) + "\"")
     .Add();
-  if (!shared.mItems.IsSourceReachable()) {
+  const auto now = ReadBootClock();
+  const auto wasReachable = shared.mItems.IsSourceReachable();
+  shared.mItems.OnSourceFailure(now);
+  if (!wasReachable) {
     return;
   }
-  const auto now = ReadBootClock();
-  shared.mItems.SetSourceReachable(false, now);
   shared.mLog.Write(log_priority::Notable,
                     "platform_lost",
                     { { "revision", shared.mItems.Position().mRevision },
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -46,7 +46,7 @@
     , mLog(aLog)
     , mMetrics(aMetrics)
     , mRandom(mSettings.mSeed)
-    , mItems(std::move(aVersionOf))
+    , mItems(std::move(aVersionOf), mSettings.mSourceBounds)
     , mEndpoints(mSettings.mAvailabilityZone, mSettings.mAddress)
     , mDispatchWaiter(aContext, mEndpoints)
     , mConnections(aContext)
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -232,6 +232,7 @@
   settings.mOperatorPort = sPeerPort;
   settings.mSeeds = aSeeds;
   settings.mStopGrace = mStopGrace;
+  settings.mSourceBounds = { std::chrono::milliseconds(1'200), std::chrono::milliseconds(2'000) };
   mGateway = std::make_unique<entry_gateway>(*mContext,
                                              std::move(settings),
                                              TestHeaderNames(),
