Serve no key after the last organisation was taken away

Callers with a revoked key, or one that was never issued, were served on every route once the operator had taken the last organisation away.

Cause: a missing list of organisations and an empty one were decoded to the same document, and admission asked for a key only if the list had an element. Change: the document says whether requests need a key; by default they do. An empty key belongs to nobody.

--- a/packages/dispatch/include/bronzering/dispatch/route_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/route_table.h
@@ -22,8 +22,10 @@
   /// aHost may include a port; aTarget may include a query.
   [[nodiscard]] auto FindRoute(std::string_view aHost, std::string_view aTarget) const
     -> const route_spec*;
-  /// Returns null for an unknown API key.
+  /// Returns null for an unknown API key, and for the empty one.
   [[nodiscard]] auto FindOrganisation(const std::string& aKey) const -> const organisation_spec*;
+  /// Whether requests on the route need the key of an organisation.
+  [[nodiscard]] auto RequiresKey(const route_spec& aRoute) const -> bool;
   /// Returns null for an unknown service.
   [[nodiscard]] auto FindService(std::string_view aName) const -> const service_spec*;
   /// Picks one of the services of a route by weight. aUnit is a uniform random number in [0, 1).
--- a/packages/dispatch/include/bronzering/dispatch/routing_document.h
+++ b/packages/dispatch/include/bronzering/dispatch/routing_document.h
@@ -108,6 +108,9 @@
   std::vector<route_spec> mRoutes;
   std::vector<service_spec> mServices;
   std::vector<organisation_spec> mOrganisations;
+  /// Whether requests need a key of an organisation, except on public routes. If there are no
+  /// organisations, no key is valid. False only if the operator manages no organisations at all.
+  bool mRequiresKey = true;
   caller_limits mLimits;
 };
 
--- a/packages/dispatch/src/route_table.cpp
+++ b/packages/dispatch/src/route_table.cpp
@@ -37,7 +37,10 @@
   }
   for (const auto& organisation : mDocument.mOrganisations) {
     for (const auto& key : organisation.mKeys) {
-      mOrganisationsByKey.emplace(key, &organisation);
+      // A request without a key has an empty one.
+      if (!key.empty()) {
+        mOrganisationsByKey.emplace(key, &organisation);
+      }
     }
   }
   for (const auto& service : mDocument.mServices) {
@@ -81,6 +84,11 @@
   return found == mOrganisationsByKey.end() ? nullptr : found->second;
 }
 
+auto route_table::RequiresKey(const route_spec& aRoute) const -> bool
+{
+  return mDocument.mRequiresKey && !aRoute.mIsPublic;
+}
+
 auto route_table::FindService(std::string_view aName) const -> const service_spec*
 {
   const auto found = mServices.find(aName);
--- a/packages/dispatch/tests/route_table_test.cpp
+++ b/packages/dispatch/tests/route_table_test.cpp
@@ -74,6 +74,31 @@
   CHECK(table.FindOrganisation("key-3") == nullptr);
 }
 
+TEST_CASE("without organisations no key is valid, and only public routes need none",
+          "[route_table]")
+{
+  auto document = routing_document();
+  document.mRoutes = { Route("closed", "shop.example", "/a/"),
+                       Route("open", "shop.example", "/b/") };
+  document.mRoutes[1].mIsPublic = true;
+  const auto table = route_table(document);
+  CHECK(table.RequiresKey(*table.FindRoute("shop.example", "/a/")));
+  CHECK(!table.RequiresKey(*table.FindRoute("shop.example", "/b/")));
+
+  document.mRequiresKey = false;
+  const auto withoutKeys = route_table(document);
+  CHECK(!withoutKeys.RequiresKey(*withoutKeys.FindRoute("shop.example", "/a/")));
+}
+
+// A request without a key would be taken for one of the organisation.
+TEST_CASE("an empty key belongs to no organisation", "[route_table]")
+{
+  auto document = routing_document();
+  document.mOrganisations = { { "lamps", { "" } } };
+  const auto table = route_table(document);
+  CHECK(table.FindOrganisation("") == nullptr);
+}
+
 TEST_CASE("services are picked by weight, and never one of weight zero", "[route_table]")
 {
   auto route = Route("split", "shop.example", "/");
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -319,7 +319,8 @@
                        { "revision", mShared.mItems.Position().mRevision },
                        { "history", mShared.mItems.Position().mHistory },
                        { "routes", table->Document().mRoutes.size() },
-                       { "organisations", table->Document().mOrganisations.size() } },
+                       { "organisations", table->Document().mOrganisations.size() },
+                       { "requires_key", table->Document().mRequiresKey } },
                      now);
 }
 
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -162,8 +162,7 @@
     co_return false;
   }
   mOrganisation = mRoutes->FindOrganisation(mMetadata.mKey);
-  const auto needsKey = !mRoutes->Document().mOrganisations.empty() && !mRoute->mIsPublic;
-  if (needsKey && mOrganisation == nullptr) {
+  if (mOrganisation == nullptr && mRoutes->RequiresKey(*mRoute)) {
     co_await WriteProblem(401, "unknown key", true, {});
     Finish(exchange_end::Rejected, 401, "unknown key");
     co_return false;
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -91,6 +91,38 @@
   });
 }
 
+// Taking away the last organisation opened every route to every key.
+TEST_CASE("after the last organisation was taken away no key is served", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", CompleteAnswer);
+  fixture.Publish(TestDocument(), { endpoint.Listed() });
+  const auto statusOf = [&fixture](std::string aKey) -> awaitable<unsigned> {
+    auto text = "GET /once/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n" + aKey + "\r\n";
+    const auto answer = co_await fixture.Ask(std::move(text));
+    co_return answer ? answer->mStatus : 0;
+  };
+  fixture.Run([&]() -> awaitable<void> {
+    const auto before = co_await statusOf("Authorization: Bearer secret\r\n");
+    CHECK(before == 200);
+    auto document = TestDocument(2);
+    document.mOrganisations.clear();
+    fixture.Publish(std::move(document), { endpoint.Listed() });
+    for (const auto* key : { "Authorization: Bearer secret\r\n",
+                             "Authorization: Bearer never-issued\r\n",
+                             "Authorization: Bearer \r\n",
+                             "" }) {
+      const auto status = co_await statusOf(key);
+      CHECK(status == 401);
+    }
+    CHECK(endpoint.Requests().size() == 1);
+    // The key is valid again as soon as its organisation is back.
+    fixture.Publish(TestDocument(3), { endpoint.Listed() });
+    const auto after = co_await statusOf("Authorization: Bearer secret\r\n");
+    CHECK(after == 200);
+  });
+}
+
 TEST_CASE("a newer document is adopted, an older or malformed one is not", "[entry_gateway]")
 {
   auto fixture = gateway_fixture();
