Take a grace period of zero for an end at once

An assertion would have stopped the process at SIGTERM where the settings name no grace period; bad input is no broken invariant. Found by reading.

--- a/packages/dispatch/include/bronzering/dispatch/shutdown_schedule.h
+++ b/packages/dispatch/include/bronzering/dispatch/shutdown_schedule.h
@@ -28,8 +28,8 @@
     duration mExpected{};
   };
 
-  /// Records the stop request. aGrace is the time until the process must have ended.
-  /// Precondition: the process is not stopping yet; aGrace is positive.
+  /// Records the stop request. aGrace is the time until the process must have ended; without any,
+  /// it ends at once. Precondition: the process is not stopping yet.
   auto Begin(time_point aNow, duration aGrace) -> void;
 
   [[nodiscard]] auto IsStopping() const -> bool { return mRequested.has_value(); }
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -71,7 +71,7 @@
   /// The peer whose items this entry should take, if its own source does not give it the latest.
   [[nodiscard]] auto PeerToFetchFrom() const -> std::optional<std::string>;
   auto OnNewerPeerItems() -> void;
-  /// Applies the changes of items whose time has come, now and whenever the next one is due.
+  /// Applies the deferred changes of items that are due, and calls itself when the next one is.
   auto ApplyDeferredChanges() -> void;
   auto AdoptDocument() -> void;
   auto AdoptEndpoints() -> void;
