Keep an item that replaces an expired one

A withheld item that was taken in for an expired one kept the time at which the expired one was to be removed, so that the entry dropped a sound endpoint then. "an item that replaces an expired one is not removed with it" failed before.

--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -138,6 +138,7 @@
       aNow - mSource.LastDisturbance() >= kLeaseExpiry) {
     for (auto& [key, item] : std::exchange(mWithheld, {})) {
       mRemovals.erase(key);
+      mDeferred.erase(key);
       mItems.insert_or_assign(key, std::move(item));
     }
     hasChanged = true;
@@ -190,6 +191,7 @@
 
 auto published_items::Erase(const std::string& aKey, time_point aNow) -> void
 {
+  mDeferred.erase(aKey);
   const auto found = mItems.find(aKey);
   if (found == mItems.end()) {
     return;
@@ -203,7 +205,6 @@
     }
     mRemovals.insert_or_assign(aKey, removal{ *version, mPosition.mHistory, aNow });
   }
-  mDeferred.erase(aKey);
   mItems.erase(found);
 }
 
--- a/packages/dispatch/tests/restored_source_test.cpp
+++ b/packages/dispatch/tests/restored_source_test.cpp
@@ -114,6 +114,23 @@
   }
 }
 
+// The withheld item would be removed at the time that was meant for the one that it replaces.
+TEST_CASE("an item that replaces an expired one is not removed with it", "[restored_source]")
+{
+  auto items = Items();
+  const auto now = kStart + 60s;
+  items.ApplySnapshot({ 12, { { "document", "0.7", 3, 2 }, { "endpoint", "4.8 ready", 5, 2 } }, 2 },
+                      item_origin::Source,
+                      now);
+  const auto expiry = now + published_items::kLeaseExpiry;
+  REQUIRE(items.ApplyWrite({ "endpoint", "5.9 leaving", 20, 1, true }, expiry - 1s));
+  REQUIRE(!items.ApplyWrite({ "endpoint", "4.9 ready", 13, 2 }, expiry - 500ms));
+  CHECK(items.ApplyDeferredChanges(expiry));
+  CHECK(ValueOf(items, "endpoint") == "4.9 ready");
+  static_cast<void>(items.ApplyDeferredChanges(expiry + 5s));
+  CHECK(ValueOf(items, "endpoint") == "4.9 ready");
+}
+
 // Callers' requests would be sent to an endpoint that has long announced its end.
 TEST_CASE("an endpoint that had left does not return with the older copy", "[restored_source]")
 {
