Let a request wait as long as it can end in its caller's time

What callers saw: under load a request was rejected after an eighth of its route's objective, 25 to 100 ms, though its caller would have waited for 1 to 15 s and a place came free within that time.

Cause: dispatch_queue took the objective, which says how good an answer is, for the time that the caller has.

Change: a route says after which gap callers leave a stream (decoded from the platform's rule); a ticket has the time by which the first event must come, and the deadline of the whole answer. A request waits until its latest start, that time less its own work with a margin for the error of the estimate. It is rejected as soon as the places that this entry can expect (slots, the time for which they are occupied, the share of the callers' demand, rate limits), less what waits before it and what more urgent requests take, don't reach it by then. It is sent only where it is expected to end in time. In an endpoint's own queue it waits only if a slot becomes free within 200 ms, which is what entries need to learn of it.

Tests: the new cases of dispatch_queue_test and endpoint_table_test. The case that rejected a request after its objective and the one that rejected after a second without an endpoint stated the old rule; they are replaced by cases that bound the wait from both sides. The case without a connection limit now has the slots for its 500 requests, since no queue of that length is joined any more. dispatch, gateway and platform tests pass (arm64).

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bronzering/dispatch/answer_times.h>
 #include <bronzering/dispatch/configuration_lag.h>
 #include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/digest_exchange.h>
--- a/packages/dispatch/include/bronzering/dispatch/decaying_rate.h
+++ b/packages/dispatch/include/bronzering/dispatch/decaying_rate.h
@@ -2,6 +2,7 @@
 
 #include <bronzering/base/time.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace bronzering {
@@ -24,6 +25,14 @@
     return mRate * std::exp(-ToSeconds(aNow - mUpdated) / ToSeconds(kAveragingTime));
   }
 
+  /// The rate less the standard deviation of events that are independent of each other, so that a
+  /// few of them do not pass for a lasting rate.
+  [[nodiscard]] auto CertainAt(time_point aNow) const -> double
+  {
+    const auto events = At(aNow) * ToSeconds(kAveragingTime);
+    return std::max(0.0, events - std::sqrt(events)) / ToSeconds(kAveragingTime);
+  }
+
 private:
   double mRate = 0;
   time_point mUpdated;
--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -2,12 +2,12 @@
 
 #include <bronzering/base/ids.h>
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/endpoint_table.h>
 
 #include <compare>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,11 +21,12 @@
   std::string mService;
   token_work mWork;
   request_rank mRank;
-  /// The request has the most urgent rank and may wait in the queue of an endpoint.
+  /// No request is more urgent, so this one may wait in the queue of an endpoint.
   bool mIsUrgent = false;
   time_point mArrived;
-  /// Latency objective, counted from mArrived.
-  duration mObjective{};
+  /// When the caller leaves if no event has arrived since the last one, or since its request.
+  time_point mFirstEventBy;
+  /// When the caller's time for the whole answer is over.
   time_point mDeadline;
   /// Endpoints that were already tried for this request.
   std::vector<std::string> mExcluded;
@@ -41,27 +42,35 @@
   std::optional<endpoint_table::choice> mEndpoint;
   /// For rejections: time after which the caller should retry.
   duration mRetryAfter{};
-  /// Inputs of the decision, for the log: the endpoint's expected latency, the time left until the
-  /// latency objective, and the number of other requests in the queue.
+  /// Inputs of the decision, for the log: the endpoint's expected latency, the time in which the
+  /// first event has to come, the time until a place is expected (empty if none is in sight), and
+  /// the number of other requests in the queue.
   duration mExpected{};
   duration mAllowed{};
+  std::optional<duration> mPlaceExpected;
   std::size_t mWaiting = 0;
 };
 
 /// Priority queue that decides when a request is sent and when it is rejected, by rank and then by
-/// order of arrival. Engines admit requests in order of arrival and have no priorities. Therefore
-/// only the most urgent requests may wait in an endpoint's queue, as long as their latency
-/// objective can still be met; all others need a free slot. Under overload, a slot that becomes
-/// free thus goes to an urgent request, whichever entry received it. A request waits in this queue
-/// only briefly and is then rejected with a retry delay, because a long queue would delay every
-/// request beyond its objective. Not thread-safe: owned by the control thread.
+/// order of arrival.
+///
+/// A request is sent only where it is expected to be answered before its caller leaves. It waits as
+/// long as that stays possible: until its latest start, the caller's time less the work itself. It
+/// is rejected as soon as the requests before it, or the more urgent ones that keep arriving, leave
+/// no place for it by then, so that its caller loses no time and may be served elsewhere.
+///
+/// Engines admit requests in order of arrival and have no priorities. Therefore only the most
+/// urgent requests may wait in a model's own queue; all others need a free slot. Under overload, a
+/// slot that becomes free thus goes to an urgent request, whichever entry received it. Requests to
+/// services that are not models end sooner than entries learn of a free slot, so all of them may.
+/// Not thread-safe: owned by the control thread.
 class dispatch_queue
 {
 public:
   explicit dispatch_queue(endpoint_table& aEndpoints);
 
   /// Precondition: the exchange is not queued.
-  auto Add(dispatch_ticket aTicket) -> void;
+  auto Add(dispatch_ticket aTicket, time_point aNow) -> void;
   auto Cancel(exchange_id aExchange) -> void;
   /// Returns the decisions that can be made now and removes their tickets from the queue. A
   /// dispatched ticket is added to the outstanding work of its endpoint.
@@ -78,19 +87,56 @@
     // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const queue_key&) const = default;
   };
+  struct queued_ticket
+  {
+    dispatch_ticket mTicket;
+    /// Started later, the request would probably end after its caller has left.
+    time_point mLatestStart;
+  };
+  /// What a call of Decide has found out so far about the places of a service that a requirement
+  /// allows. Sending takes capacity and frees none, so a service without a place stays without one.
+  struct place_outlook
+  {
+    bool mHasPlace = true;
+    std::optional<duration> mAdmission;
+  };
+  struct service_outlook
+  {
+    place_outlook mFreeSlots;
+    place_outlook mQueuePositions;
+    /// Requests that keep waiting, before the one that is looked at.
+    std::size_t mWaiting = 0;
+    std::optional<double> mPlaceRate;
+
+    [[nodiscard]] auto PlacesOf(slot_requirement aRequirement) -> place_outlook&
+    {
+      return aRequirement == slot_requirement::FreeSlot ? mFreeSlots : mQueuePositions;
+    }
+  };
 
-  [[nodiscard]] auto DecideOne(const dispatch_ticket& aTicket, time_point aNow)
-    -> std::optional<dispatch_decision>;
-  [[nodiscard]] auto ChooseFor(const dispatch_ticket& aTicket, time_point aNow)
-    -> std::optional<endpoint_table::choice>;
+  [[nodiscard]] auto DecideOne(const queued_ticket& aQueued,
+                               service_outlook& aOutlook,
+                               time_point aNow) -> std::optional<dispatch_decision>;
+  [[nodiscard]] auto ChooseFor(const dispatch_ticket& aTicket,
+                               service_outlook& aOutlook,
+                               time_point aNow) const -> std::optional<endpoint_table::choice>;
+  /// Time until a place is expected for the request, behind those that keep waiting before it;
+  /// empty if none is in sight.
+  [[nodiscard]] auto TimeToPlace(const dispatch_ticket& aTicket,
+                                 service_outlook& aOutlook,
+                                 time_point aNow) const -> std::optional<duration>;
+  [[nodiscard]] auto LatestStart(const dispatch_ticket& aTicket) const -> time_point;
   [[nodiscard]] auto RequirementOf(const dispatch_ticket& aTicket) const -> slot_requirement;
+  /// Requests per second of more urgent ranks that arrive for the same service.
+  [[nodiscard]] auto MoreUrgentRate(const dispatch_ticket& aTicket, time_point aNow) const
+    -> double;
+  auto RecordArrival(const dispatch_ticket& aTicket, time_point aNow) -> void;
 
   endpoint_table& mEndpoints;
-  std::map<queue_key, dispatch_ticket> mTickets;
+  std::map<queue_key, queued_ticket> mTickets;
   std::unordered_map<exchange_id, queue_key> mQueueKeys;
   std::uint64_t mArrivals = 0;
-  /// Services without a free slot, as found since Decide was called.
-  std::set<std::string, std::less<>> mFullServices;
+  std::map<std::string, std::map<request_rank, decaying_rate>, std::less<>> mArrivalRates;
 };
 
 } // namespace bronzering
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_rate_limiter.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_rate_limiter.h
@@ -99,6 +99,11 @@
   [[nodiscard]] auto TimeToAdmission(endpoint_incarnation_key aEndpoint,
                                      rate_share aUsable,
                                      time_point aNow) const -> std::optional<duration>;
+  /// Requests per second that this entry may send to the endpoint; empty if it names no limit.
+  [[nodiscard]] auto OwnRate(endpoint_incarnation_key aEndpoint) const -> std::optional<double>;
+  /// This entry's share of what callers send to all entries, 0 to 1. At least that of an equal
+  /// division, since the demand on an entry that has just started or was just found is not known.
+  [[nodiscard]] auto OwnDemandShare() const -> double { return mOwnDemandShare; }
   /// Takes a request from this entry's share.
   auto OnSent(endpoint_incarnation_key aEndpoint, time_point aNow) -> void;
 
@@ -142,6 +147,7 @@
   std::string mSelf;
   /// Ordered by address, the same on all entries.
   std::vector<entry_demand> mMembers;
+  double mOwnDemandShare = 1;
   std::unordered_map<endpoint_incarnation_key, listed_position> mListed;
   std::map<endpoint_incarnation_key, limit_state> mLimits;
   /// The last endpoint returned by TakeStatements.
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include <bronzering/base/ids.h>
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/answer_times.h>
 #include <bronzering/dispatch/endpoint_preference.h>
 #include <bronzering/dispatch/endpoint_rate_limiter.h>
 #include <bronzering/dispatch/routing_document.h>
@@ -67,8 +68,8 @@
 {
   /// Free slots only.
   FreeSlot,
-  /// Free slots, or else a position in the endpoint's own queue. What is kept of a rate limit for
-  /// urgent requests may be used too.
+  /// Free slots, or else a position in the endpoint's own queue if a slot is expected to become
+  /// free soon. What is kept of a rate limit for urgent requests may be used too.
   FreeSlotOrQueue
 };
 
@@ -88,12 +89,7 @@
     std::string mId;
     std::uint64_t mIncarnation = 0;
     std::string mAddress;
-    /// Expected time until the first event, or until the response for services that are not models.
-    duration mExpected{};
-    /// All slots are in use, so the request would wait in the endpoint's own queue.
-    bool mIsFull = false;
-    /// Expected time until the end of the response.
-    duration mExpectedEnd{};
+    answer_times mExpected;
   };
 
   /// aSelf is the address of this entry.
@@ -104,14 +100,31 @@
   /// kept.
   auto Apply(std::vector<listed_endpoint> aEndpoints, time_point aNow) -> void;
 
-  /// Returns the best endpoint of a service that is not draining, not in aExcluded, and has the
-  /// capacity that aRequirement asks for; empty if there is none. Endpoints with recent failures
-  /// are used only if no other candidate exists.
+  /// Returns the best endpoint of a service that is not draining, not in aExcluded, has the
+  /// capacity that aRequirement asks for, and is expected to answer within aAllowed; empty if there
+  /// is none. Endpoints with recent failures are used only if no other candidate exists.
   [[nodiscard]] auto Choose(std::string_view aService,
                             const token_work& aWork,
                             const std::vector<std::string>& aExcluded,
                             slot_requirement aRequirement,
+                            const answer_times& aAllowed,
                             time_point aNow) const -> std::optional<choice>;
+  /// Whether some endpoint has the capacity that aRequirement asks for, however long it takes.
+  [[nodiscard]] auto HasPlace(std::string_view aService,
+                              slot_requirement aRequirement,
+                              time_point aNow) const -> bool;
+  /// Shortest expected times of the work at an endpoint of the service that has nothing else to do;
+  /// empty if the service has no endpoint.
+  [[nodiscard]] auto ShortestTimes(std::string_view aService, const token_work& aWork) const
+    -> std::optional<answer_times>;
+  /// Places per second that this entry can expect to get at the endpoints of a service while all of
+  /// them are busy: its share, by its callers' demand, of the slots that become free, as far as the
+  /// endpoints' rate limits allow. Endpoints in aExcluded are left out. aWork stands for the
+  /// requests of the service as long as no answer of it was measured.
+  [[nodiscard]] auto PlaceRate(std::string_view aService,
+                               const token_work& aWork,
+                               const std::vector<std::string>& aExcluded,
+                               time_point aNow) const -> double;
 
   /// Records that a request is sent to an endpoint. Precondition: the exchange has no outstanding
   /// request.
@@ -205,14 +218,22 @@
   [[nodiscard]] auto TotalLoad(const endpoint_state& aEndpoint) const -> endpoint_load;
   /// Speed measured by this entry, or by a peer where this entry has no measurement.
   [[nodiscard]] auto EffectiveSpeed(const endpoint_state& aEndpoint) const -> endpoint_speed;
-  [[nodiscard]] auto ExpectedLatency(const endpoint_state& aEndpoint,
-                                     const service_spec& aService,
-                                     const endpoint_load& aTotal,
-                                     const token_work& aWork) const -> duration;
-  /// Expected time in which a model generates the output of a request; zero for other services.
-  [[nodiscard]] auto ExpectedGeneration(const endpoint_state& aEndpoint,
-                                        const service_spec& aService,
-                                        const token_work& aWork) const -> duration;
+  /// Calls aVisitor with each endpoint of the service that may take a request now, and its total
+  /// load, until aVisitor returns false.
+  template<class Visitor>
+  auto ForEachPlace(const service_spec& aService,
+                    const std::vector<std::string>& aExcluded,
+                    slot_requirement aRequirement,
+                    time_point aNow,
+                    Visitor&& aVisitor) const -> void;
+  /// Expected wait in the endpoint's own queue until a slot is free; zero if one is.
+  [[nodiscard]] auto SlotWait(const endpoint_state& aEndpoint,
+                              const service_spec& aService,
+                              const endpoint_load& aTotal) const -> duration;
+  [[nodiscard]] auto ExpectedTimes(const endpoint_state& aEndpoint,
+                                   const service_spec& aService,
+                                   const endpoint_load& aTotal,
+                                   const token_work& aWork) const -> answer_times;
   static auto AddFailure(endpoint_state& aEndpoint, duration aFirstAvoidance, time_point aNow)
     -> void;
   auto MeasurePrefillSpeed(endpoint_state& aEndpoint,
@@ -222,12 +243,15 @@
                               const outstanding_request& aSent,
                               std::uint64_t aTokens,
                               time_point aNow) -> void;
+  auto MeasureSlotTime(const std::string& aService, duration aSample) -> void;
   [[nodiscard]] auto Find(const outstanding_request& aSent) -> endpoint_state*;
 
   endpoint_preference mPreference;
   endpoint_rate_limiter mRateLimits;
   std::map<std::string, service_spec, std::less<>> mServices;
   std::map<std::string, endpoint_state, std::less<>> mEndpoints;
+  /// Moving average of the time for which a request occupies a slot, by service.
+  std::map<std::string, duration, std::less<>> mSlotTimes;
   /// The elements of mEndpoints by service.
   std::map<std::string, std::vector<endpoint_state*>, std::less<>> mByService;
   std::unordered_map<exchange_id, outstanding_request> mOutstanding;
--- a/packages/dispatch/include/bronzering/dispatch/routing_document.h
+++ b/packages/dispatch/include/bronzering/dispatch/routing_document.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
   duration mTimeout{};
   /// Latency objective: time to the complete response, or to the first event of a stream.
   duration mObjective{};
+  /// Time without an event, also before the first one, after which callers leave a stream; empty if
+  /// they wait until their deadline.
+  std::optional<duration> mMaxEventGap;
   /// 0 is the most urgent.
   std::uint32_t mPriority = 0;
   /// Maximum number of endpoints that one request may be sent to.
--- a/packages/dispatch/src/dispatch_queue.cpp
+++ b/packages/dispatch/src/dispatch_queue.cpp
@@ -7,13 +7,12 @@
 
 namespace {
 
-/// Fraction of the latency objective for which a request may wait for a free slot before it is
-/// rejected.
-constexpr auto kMaxWaitFraction = 0.125;
 /// The retry delay of a rejection, and its upper bound as a fraction of the time left until the
 /// deadline.
 constexpr auto kRetryAfter = duration(std::chrono::milliseconds(50));
 constexpr auto kMaxRetryFraction = 1.0 / 3;
+/// Requests per second below which a rank counts as silent and is forgotten.
+constexpr auto kSilentRate = 0.01;
 
 } // namespace
 
@@ -22,12 +21,14 @@
 {
 }
 
-auto dispatch_queue::Add(dispatch_ticket aTicket) -> void
+auto dispatch_queue::Add(dispatch_ticket aTicket, time_point aNow) -> void
 {
   assert(!mQueueKeys.contains(aTicket.mExchange));
+  RecordArrival(aTicket, aNow);
+  const auto latestStart = LatestStart(aTicket);
   const auto key = queue_key{ aTicket.mRank, ++mArrivals };
   mQueueKeys.emplace(aTicket.mExchange, key);
-  mTickets.emplace(key, std::move(aTicket));
+  mTickets.emplace(key, queued_ticket{ std::move(aTicket), latestStart });
 }
 
 auto dispatch_queue::Cancel(exchange_id aExchange) -> void
@@ -43,70 +44,105 @@
 auto dispatch_queue::Decide(time_point aNow) -> std::vector<dispatch_decision>
 {
   auto decisions = std::vector<dispatch_decision>();
-  mFullServices.clear();
+  auto outlooks = std::map<std::string, service_outlook, std::less<>>();
   for (auto next = mTickets.begin(); next != mTickets.end();) {
-    auto decision = DecideOne(next->second, aNow);
+    const auto& ticket = next->second.mTicket;
+    auto& outlook = outlooks[ticket.mService];
+    auto decision = DecideOne(next->second, outlook, aNow);
     if (!decision) {
+      ++outlook.mWaiting;
       ++next;
       continue;
     }
     if (decision->mEndpoint) {
-      mEndpoints.Begin(next->second.mExchange, decision->mEndpoint->mId, next->second.mWork, aNow);
+      mEndpoints.Begin(ticket.mExchange, decision->mEndpoint->mId, ticket.mWork, aNow);
     }
     decision->mWaiting = mTickets.size() - 1;
     decisions.push_back(std::move(*decision));
-    mQueueKeys.erase(next->second.mExchange);
+    mQueueKeys.erase(ticket.mExchange);
     next = mTickets.erase(next);
   }
   return decisions;
 }
 
-auto dispatch_queue::ChooseFor(const dispatch_ticket& aTicket, time_point aNow)
-  -> std::optional<endpoint_table::choice>
+auto dispatch_queue::DecideOne(const queued_ticket& aQueued,
+                               service_outlook& aOutlook,
+                               time_point aNow) -> std::optional<dispatch_decision>
+{
+  const auto& ticket = aQueued.mTicket;
+  auto decision = dispatch_decision();
+  decision.mExchange = ticket.mExchange;
+  decision.mAllowed = ticket.mFirstEventBy - aNow;
+  decision.mEndpoint = ChooseFor(ticket, aOutlook, aNow);
+  if (decision.mEndpoint) {
+    decision.mExpected = decision.mEndpoint->mExpected.mFirstEvent;
+    return decision;
+  }
+
+  decision.mPlaceExpected = TimeToPlace(ticket, aOutlook, aNow);
+  const auto canStartInTime =
+    decision.mPlaceExpected && aNow + *decision.mPlaceExpected <= aQueued.mLatestStart;
+  if (!ticket.mIsRetry && canStartInTime) {
+    return std::nullopt;
+  }
+  const auto timeLeft = std::max<duration>(ticket.mDeadline - aNow, duration::zero());
+  const auto maxRetryAfter = FromSeconds(ToSeconds(timeLeft) * kMaxRetryFraction);
+  const auto retryAfter =
+    std::max(kRetryAfter, mEndpoints.TimeToAdmission(ticket.mService, RequirementOf(ticket), aNow));
+  decision.mRetryAfter = std::min(retryAfter, maxRetryAfter);
+  return decision;
+}
+
+auto dispatch_queue::ChooseFor(const dispatch_ticket& aTicket,
+                               service_outlook& aOutlook,
+                               time_point aNow) const -> std::optional<endpoint_table::choice>
 {
-  // Sending takes capacity and frees none, so a service without a free slot stays without one.
   const auto requirement = RequirementOf(aTicket);
-  const auto needsAnyFreeSlot =
-    requirement == slot_requirement::FreeSlot && aTicket.mExcluded.empty();
-  if (needsAnyFreeSlot && mFullServices.contains(aTicket.mService)) {
+  auto& places = aOutlook.PlacesOf(requirement);
+  if (!places.mHasPlace) {
     return std::nullopt;
   }
-  auto best =
-    mEndpoints.Choose(aTicket.mService, aTicket.mWork, aTicket.mExcluded, requirement, aNow);
-  if (needsAnyFreeSlot && !best) {
-    mFullServices.insert(aTicket.mService);
+  const auto allowed = answer_times{ aTicket.mFirstEventBy - aNow, aTicket.mDeadline - aNow };
+  auto best = mEndpoints.Choose(
+    aTicket.mService, aTicket.mWork, aTicket.mExcluded, requirement, allowed, aNow);
+  if (!best) {
+    places.mHasPlace = mEndpoints.HasPlace(aTicket.mService, requirement, aNow);
   }
   return best;
 }
 
-auto dispatch_queue::DecideOne(const dispatch_ticket& aTicket, time_point aNow)
-  -> std::optional<dispatch_decision>
+auto dispatch_queue::TimeToPlace(const dispatch_ticket& aTicket,
+                                 service_outlook& aOutlook,
+                                 time_point aNow) const -> std::optional<duration>
 {
-  const auto timeLeft = duration(aTicket.mDeadline - aNow);
-  const auto objectiveEnd = aTicket.mArrived + aTicket.mObjective;
-  auto best = ChooseFor(aTicket, aNow);
-  auto decision = dispatch_decision{ aTicket.mExchange, std::nullopt, {}, {}, {}, 0 };
-  decision.mAllowed = objectiveEnd - aNow;
-  if (best) {
-    decision.mExpected = best->mExpected;
+  const auto measureRate = [&] {
+    return mEndpoints.PlaceRate(aTicket.mService, aTicket.mWork, aTicket.mExcluded, aNow);
+  };
+  auto rate = 0.0;
+  if (aTicket.mExcluded.empty()) {
+    aOutlook.mPlaceRate = aOutlook.mPlaceRate ? *aOutlook.mPlaceRate : measureRate();
+    rate = *aOutlook.mPlaceRate;
+  } else {
+    rate = measureRate();
   }
-
-  // A free slot is used even if the objective cannot be met: a long prompt misses its objective on
-  // any endpoint because of its own length, and would otherwise never be served.
-  if (best && (aTicket.mIsRetry || !best->mIsFull || aNow + best->mExpected <= objectiveEnd)) {
-    decision.mEndpoint = std::move(best);
-    return decision;
-  }
-  const auto waitUntil =
-    aTicket.mArrived + FromSeconds(ToSeconds(aTicket.mObjective) * kMaxWaitFraction);
-  if (!aTicket.mIsRetry && aNow < waitUntil && timeLeft > duration::zero()) {
+  rate -= MoreUrgentRate(aTicket, aNow);
+  if (rate <= 0) {
     return std::nullopt;
   }
-  const auto maxRetryAfter = FromSeconds(std::max(0.0, ToSeconds(timeLeft)) * kMaxRetryFraction);
-  const auto retryAfter = std::max(
-    kRetryAfter, mEndpoints.TimeToAdmission(aTicket.mService, RequirementOf(aTicket), aNow));
-  decision.mRetryAfter = std::min(retryAfter, maxRetryAfter);
-  return decision;
+  const auto requirement = RequirementOf(aTicket);
+  auto& admission = aOutlook.PlacesOf(requirement).mAdmission;
+  if (!admission) {
+    admission = mEndpoints.TimeToAdmission(aTicket.mService, requirement, aNow);
+  }
+  return std::max(*admission, FromSeconds(static_cast<double>(aOutlook.mWaiting + 1) / rate));
+}
+
+auto dispatch_queue::LatestStart(const dispatch_ticket& aTicket) const -> time_point
+{
+  const auto shortest =
+    mEndpoints.ShortestTimes(aTicket.mService, aTicket.mWork).value_or(answer_times());
+  return std::min(aTicket.mFirstEventBy - WithEstimateMargin(shortest.mFirstEvent),
+                  aTicket.mDeadline - WithEstimateMargin(shortest.mEnd));
 }
 
 auto dispatch_queue::RequirementOf(const dispatch_ticket& aTicket) const -> slot_requirement
@@ -117,4 +153,26 @@
                                                            : slot_requirement::FreeSlot;
 }
 
+auto dispatch_queue::MoreUrgentRate(const dispatch_ticket& aTicket, time_point aNow) const -> double
+{
+  auto sum = 0.0;
+  if (const auto rates = mArrivalRates.find(aTicket.mService); rates != mArrivalRates.end()) {
+    const auto end = rates->second.lower_bound(aTicket.mRank);
+    for (auto rank = rates->second.begin(); rank != end; ++rank) {
+      sum += rank->second.CertainAt(aNow);
+    }
+  }
+  return sum;
+}
+
+auto dispatch_queue::RecordArrival(const dispatch_ticket& aTicket, time_point aNow) -> void
+{
+  mArrivalRates[aTicket.mService][aTicket.mRank].OnEvent(aNow);
+  // Services and ranks come and go with the configuration.
+  for (auto& [service, rates] : mArrivalRates) {
+    std::erase_if(rates, [aNow](const auto& aRate) { return aRate.second.At(aNow) < kSilentRate; });
+  }
+  std::erase_if(mArrivalRates, [](const auto& aRates) { return aRates.second.empty(); });
+}
+
 } // namespace bronzering
--- a/packages/dispatch/src/endpoint_rate_limiter.cpp
+++ b/packages/dispatch/src/endpoint_rate_limiter.cpp
@@ -46,6 +46,14 @@
   std::sort(mMembers.begin(), mMembers.end(), [](const auto& aLeft, const auto& aRight) {
     return aLeft.mAddress < aRight.mAddress;
   });
+  auto own = 0.0;
+  auto total = 0.0;
+  for (const auto& member : mMembers) {
+    const auto demand = std::max(member.mRequestsPerSecond, kMinDemand);
+    total += demand;
+    own += member.mAddress == mSelf ? demand : 0;
+  }
+  mOwnDemandShare = std::max(own / total, 1 / static_cast<double>(mMembers.size()));
   UpdateShares(aNow);
 }
 
@@ -104,6 +112,16 @@
   return FromSeconds(std::max(0.0, needed - LevelAt(state, aNow)) / state.mShare);
 }
 
+auto endpoint_rate_limiter::OwnRate(endpoint_incarnation_key aEndpoint) const
+  -> std::optional<double>
+{
+  const auto found = mLimits.find(aEndpoint);
+  if (found == mLimits.end() || !found->second.mLimit) {
+    return std::nullopt;
+  }
+  return found->second.mShare;
+}
+
 auto endpoint_rate_limiter::OnSent(endpoint_incarnation_key aEndpoint, time_point aNow) -> void
 {
   const auto found = mLimits.find(aEndpoint);
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace bronzering {
@@ -23,10 +24,17 @@
 /// Expected round-trip cost of an endpoint in another availability zone.
 constexpr auto kCrossZoneDelay = duration(10'000);
 
+/// Longest expected wait in an endpoint's own queue: what digests between availability zones take.
+/// Without it a slot would stay empty until the entries that hold requests learn that it is free. A
+/// longer queue there could not be put in another order when a more urgent request arrives, and
+/// would be lost with the endpoint.
+constexpr auto kMaxSlotWait = duration(std::chrono::milliseconds(200));
+
 /// Weights of a new sample in the exponential moving averages of measured speeds, 0 to 1.
 constexpr auto kTokenTimeWeight = 0.05;
 constexpr auto kPromptTimeWeight = 0.15;
 constexpr auto kServiceTimeWeight = 0.1;
+constexpr auto kSlotTimeWeight = 0.05;
 /// Shorter prompts are not measured: fixed costs dominate their prefill time.
 constexpr auto kMinMeasuredPromptTokens = 512U;
 /// A longer time per token is a stall and is not measured as generation speed.
@@ -62,6 +70,11 @@
   return aSpeed.mTokenTime == duration::zero() ? kDefaultTokenTime : aSpeed.mTokenTime;
 }
 
+auto ServiceTimeOf(const endpoint_speed& aSpeed) -> duration
+{
+  return aSpeed.mTokenTime == duration::zero() ? kDefaultServiceTime : aSpeed.mTokenTime;
+}
+
 auto UsableShare(slot_requirement aRequirement) -> rate_share
 {
   return aRequirement == slot_requirement::FreeSlot ? rate_share::Unreserved : rate_share::Whole;
@@ -86,6 +99,8 @@
   for (const auto& service : aServices) {
     mServices.emplace(service.mName, service);
   }
+  std::erase_if(mSlotTimes,
+                [this](const auto& aEntry) { return !mServices.contains(aEntry.first); });
 }
 
 auto endpoint_table::Apply(std::vector<listed_endpoint> aEndpoints, time_point aNow) -> void
@@ -117,16 +132,16 @@
   }
 }
 
-auto endpoint_table::Choose(std::string_view aService,
-                            const token_work& aWork,
-                            const std::vector<std::string>& aExcluded,
-                            slot_requirement aRequirement,
-                            time_point aNow) const -> std::optional<choice>
+template<class Visitor>
+auto endpoint_table::ForEachPlace(const service_spec& aService,
+                                  const std::vector<std::string>& aExcluded,
+                                  slot_requirement aRequirement,
+                                  time_point aNow,
+                                  Visitor&& aVisitor) const -> void
 {
-  const auto* service = ServiceOf(aService);
-  const auto listedEndpoints = mByService.find(aService);
-  if (service == nullptr || listedEndpoints == mByService.end()) {
-    return std::nullopt;
+  const auto listedEndpoints = mByService.find(aService.mName);
+  if (listedEndpoints == mByService.end()) {
+    return;
   }
   const auto& endpoints = listedEndpoints->second;
   const auto isCandidate = [&](const endpoint_state& aEndpoint) {
@@ -139,35 +154,121 @@
     std::any_of(endpoints.begin(), endpoints.end(), [&](const endpoint_state* aEndpoint) {
       return aEndpoint->mAvoidUntil <= aNow && isCandidate(*aEndpoint);
     });
-  auto best = std::optional<choice>();
-  auto leastCost = duration::max();
-  for (const auto* candidate : endpoints) {
-    const auto& endpoint = *candidate;
-    if ((hasHealthy && endpoint.mAvoidUntil > aNow) || !isCandidate(endpoint)) {
+  for (const auto* endpoint : endpoints) {
+    if ((hasHealthy && endpoint->mAvoidUntil > aNow) || !isCandidate(*endpoint)) {
       continue;
     }
-    const auto& listed = endpoint.mListed;
-    const auto total = TotalLoad(endpoint);
-    const auto isFull = total.mRequests >= listed.mSlots;
+    const auto total = TotalLoad(*endpoint);
     const auto hasConnection =
-      service->mMaxConnections == 0 || total.mRequests < service->mMaxConnections;
+      aService.mMaxConnections == 0 || total.mRequests < aService.mMaxConnections;
+    const auto hasSlot = total.mRequests < endpoint->mListed.mSlots ||
+                         (aRequirement == slot_requirement::FreeSlotOrQueue &&
+                          SlotWait(*endpoint, aService, total) <= kMaxSlotWait);
     const auto admission =
-      mRateLimits.TimeToAdmission(endpoint.mIncarnationKey, UsableShare(aRequirement), aNow);
-    if (admission != duration::zero()) {
-      continue;
+      mRateLimits.TimeToAdmission(endpoint->mIncarnationKey, UsableShare(aRequirement), aNow);
+    if (hasConnection && hasSlot && admission == duration::zero() && !aVisitor(*endpoint, total)) {
+      return;
     }
-    if (!hasConnection || (aRequirement == slot_requirement::FreeSlot && isFull)) {
+  }
+}
+
+auto endpoint_table::Choose(std::string_view aService,
+                            const token_work& aWork,
+                            const std::vector<std::string>& aExcluded,
+                            slot_requirement aRequirement,
+                            const answer_times& aAllowed,
+                            time_point aNow) const -> std::optional<choice>
+{
+  const auto* service = ServiceOf(aService);
+  if (service == nullptr) {
+    return std::nullopt;
+  }
+  auto best = std::optional<choice>();
+  auto leastCost = duration::max();
+  ForEachPlace(*service,
+               aExcluded,
+               aRequirement,
+               aNow,
+               [&](const endpoint_state& aEndpoint, const endpoint_load& aTotal) {
+                 const auto expected = ExpectedTimes(aEndpoint, *service, aTotal, aWork);
+                 const auto cost = expected.mFirstEvent + aEndpoint.mHandicap;
+                 if (FitsInto(expected, aAllowed) && (!best || cost < leastCost)) {
+                   leastCost = cost;
+                   const auto& listed = aEndpoint.mListed;
+                   best = choice{ listed.mId, listed.mIncarnation, listed.mAddress, expected };
+                 }
+                 return true;
+               });
+  return best;
+}
+
+auto endpoint_table::HasPlace(std::string_view aService,
+                              slot_requirement aRequirement,
+                              time_point aNow) const -> bool
+{
+  auto isFound = false;
+  if (const auto* service = ServiceOf(aService); service != nullptr) {
+    ForEachPlace(*service, {}, aRequirement, aNow, [&](const auto&, const auto&) {
+      isFound = true;
+      return false;
+    });
+  }
+  return isFound;
+}
+
+auto endpoint_table::ShortestTimes(std::string_view aService, const token_work& aWork) const
+  -> std::optional<answer_times>
+{
+  const auto* service = ServiceOf(aService);
+  const auto endpoints = mByService.find(aService);
+  auto shortest = std::optional<answer_times>();
+  if (service == nullptr || endpoints == mByService.end()) {
+    return shortest;
+  }
+  for (const auto* endpoint : endpoints->second) {
+    if (IsLeaving(*endpoint)) {
       continue;
     }
-    const auto expected = ExpectedLatency(endpoint, *service, total, aWork);
-    const auto cost = expected + endpoint.mHandicap;
-    if (!best || cost < leastCost) {
-      leastCost = cost;
-      const auto end = expected + ExpectedGeneration(endpoint, *service, aWork);
-      best = choice{ listed.mId, listed.mIncarnation, listed.mAddress, expected, isFull, end };
+    const auto times = ExpectedTimes(*endpoint, *service, {}, aWork);
+    if (!shortest || times.mEnd < shortest->mEnd) {
+      shortest = times;
     }
   }
-  return best;
+  return shortest;
+}
+
+auto endpoint_table::PlaceRate(std::string_view aService,
+                               const token_work& aWork,
+                               const std::vector<std::string>& aExcluded,
+                               time_point aNow) const -> double
+{
+  const auto* service = ServiceOf(aService);
+  const auto endpoints = mByService.find(aService);
+  if (service == nullptr || endpoints == mByService.end()) {
+    return 0;
+  }
+  const auto share = mRateLimits.OwnDemandShare();
+  const auto slotTime = mSlotTimes.find(aService);
+  // Endpoints that are avoided or want a pause count only if there is no other.
+  auto openRate = 0.0;
+  auto closedRate = 0.0;
+  for (const auto* endpoint : endpoints->second) {
+    const auto& listed = endpoint->mListed;
+    if (IsLeaving(*endpoint) ||
+        std::find(aExcluded.begin(), aExcluded.end(), listed.mId) != aExcluded.end()) {
+      continue;
+    }
+    const auto occupied = slotTime != mSlotTimes.end()
+                            ? slotTime->second
+                            : ExpectedTimes(*endpoint, *service, {}, aWork).mEnd;
+    const auto limit = mRateLimits.OwnRate(endpoint->mIncarnationKey);
+    const auto rate =
+      std::min(share * listed.mSlots / ToSeconds(std::max<duration>(occupied, duration(1))),
+               limit.value_or(std::numeric_limits<double>::max()));
+    const auto isOpen = endpoint->mAvoidUntil <= aNow && endpoint->mPausedUntil <= aNow;
+    (isOpen ? openRate : closedRate) += rate;
+  }
+  return openRate > 0 ? openRate : closedRate;
 }
 
 auto endpoint_table::Begin(exchange_id aExchange,
@@ -255,6 +356,11 @@
   }
   ownLoad.mOutputTokens -= std::min(ownLoad.mOutputTokens, sent.mRemainingTokens);
 
+  const auto hasRun = aResult == attempt_result::Answered || aResult == attempt_result::Failed;
+  if (hasRun && sent.mHadFreeSlot) {
+    MeasureSlotTime(endpoint->mListed.mService, aNow - sent.mSent);
+  }
+
   // Update health and, for services that are not models, speed.
   switch (aResult) {
     case attempt_result::Answered: {
@@ -472,52 +578,51 @@
   return speed;
 }
 
-auto endpoint_table::ExpectedLatency(const endpoint_state& aEndpoint,
-                                     const service_spec& aService,
-                                     const endpoint_load& aTotal,
-                                     const token_work& aWork) const -> duration
+auto endpoint_table::SlotWait(const endpoint_state& aEndpoint,
+                              const service_spec& aService,
+                              const endpoint_load& aTotal) const -> duration
 {
-  const auto speed = EffectiveSpeed(aEndpoint);
-  const auto& listed = aEndpoint.mListed;
-  const auto slots = std::max(listed.mSlots, 1U);
-  const auto waiting = aTotal.mRequests < slots ? 0U : aTotal.mRequests - slots + 1;
-  auto micros = static_cast<double>(kFailurePenalty.count()) * aEndpoint.mFailureRate;
-  if (!mPreference.IsOwnZone(listed.mAvailabilityZone)) {
-    micros += static_cast<double>(kCrossZoneDelay.count());
+  const auto slots = std::max(aEndpoint.mListed.mSlots, 1U);
+  if (aTotal.mRequests < slots) {
+    return duration::zero();
   }
-
+  const auto waiting = static_cast<double>(aTotal.mRequests - slots + 1);
+  const auto speed = EffectiveSpeed(aEndpoint);
   if (!aService.mIsModel) {
-    const auto known =
-      speed.mTokenTime == duration::zero() ? kDefaultServiceTime : speed.mTokenTime;
-    const auto serviceTime = static_cast<double>(known.count());
-    micros += serviceTime * (1 + static_cast<double>(waiting) / slots);
-    return duration(static_cast<duration::rep>(micros));
+    const auto serviceTime = ServiceTimeOf(speed);
+    return FromSeconds(ToSeconds(serviceTime) * waiting / slots);
   }
-
   // A slot becomes free when one of the running requests has generated its remaining output.
-  const auto tokenTime = static_cast<double>(TokenTimeOf(speed).count());
-  if (waiting > 0) {
-    const auto meanRemaining =
-      std::max(static_cast<double>(aTotal.mOutputTokens) / aTotal.mRequests,
-               static_cast<double>(kMinRemainingTokens));
-    micros += static_cast<double>(waiting) * meanRemaining * tokenTime / slots;
+  const auto meanRemaining = std::max(static_cast<double>(aTotal.mOutputTokens) / aTotal.mRequests,
+                                      static_cast<double>(kMinRemainingTokens));
+  return FromSeconds(ToSeconds(TokenTimeOf(speed)) * waiting * meanRemaining / slots);
+}
+
+auto endpoint_table::ExpectedTimes(const endpoint_state& aEndpoint,
+                                   const service_spec& aService,
+                                   const endpoint_load& aTotal,
+                                   const token_work& aWork) const -> answer_times
+{
+  const auto speed = EffectiveSpeed(aEndpoint);
+  auto first = SlotWait(aEndpoint, aService, aTotal) +
+               FromSeconds(ToSeconds(kFailurePenalty) * aEndpoint.mFailureRate);
+  if (!mPreference.IsOwnZone(aEndpoint.mListed.mAvailabilityZone)) {
+    first += kCrossZoneDelay;
+  }
+  if (!aService.mIsModel) {
+    first += ServiceTimeOf(speed);
+    return { first, first };
   }
 
   // Prompts are prefilled one after another.
+  const auto tokenTime = TokenTimeOf(speed);
   const auto promptMicros =
     speed.mPromptTokenMicros == 0 ? kDefaultPromptTokenMicros : speed.mPromptTokenMicros;
-  micros += static_cast<double>(aTotal.mPromptTokens + aWork.mPromptTokens) * promptMicros;
-  micros += static_cast<double>(kFirstEventBase.count()) + tokenTime * aService.mTokensPerEvent;
-  return duration(static_cast<duration::rep>(micros));
-}
-
-auto endpoint_table::ExpectedGeneration(const endpoint_state& aEndpoint,
-                                        const service_spec& aService,
-                                        const token_work& aWork) const -> duration
-{
-  return aService.mIsModel ? TokenTimeOf(EffectiveSpeed(aEndpoint)) *
-                               static_cast<duration::rep>(aWork.mOutputTokens)
-                           : duration::zero();
+  const auto prefill =
+    static_cast<double>(aTotal.mPromptTokens + aWork.mPromptTokens) * promptMicros;
+  first += duration(static_cast<duration::rep>(prefill)) + kFirstEventBase +
+           tokenTime * aService.mTokensPerEvent;
+  return { first, first + tokenTime * static_cast<duration::rep>(aWork.mOutputTokens) };
 }
 
 auto endpoint_table::AddFailure(endpoint_state& aEndpoint,
@@ -565,6 +670,13 @@
                   kTokenTimeWeight)));
 }
 
+auto endpoint_table::MeasureSlotTime(const std::string& aService, duration aSample) -> void
+{
+  auto& average = mSlotTimes[aService];
+  average = duration(static_cast<duration::rep>(UpdateAverage(
+    static_cast<double>(average.count()), static_cast<double>(aSample.count()), kSlotTimeWeight)));
+}
+
 auto endpoint_table::Find(const outstanding_request& aSent) -> endpoint_state*
 {
   const auto found = mEndpoints.find(aSent.mEndpoint);
--- a/packages/dispatch/src/shutdown_schedule.cpp
+++ b/packages/dispatch/src/shutdown_schedule.cpp
@@ -1,3 +1,4 @@
+#include <bronzering/dispatch/answer_times.h>
 #include <bronzering/dispatch/shutdown_schedule.h>
 
 #include <algorithm>
@@ -11,8 +12,6 @@
 /// is for writing the answers, the rest for writing the log.
 constexpr auto kAnswerShare = 0.88;
 constexpr auto kProcessShare = 0.92;
-/// Factor for the error of an estimate.
-constexpr auto kEstimateMargin = 1.5;
 
 } // namespace
 
@@ -51,8 +50,8 @@
   if (!mRequested || aWork.mDeadline <= LastAnswer()) {
     return true;
   }
-  const auto expected = FromSeconds(ToSeconds(aWork.mExpected) * kEstimateMargin);
-  return aWork.mArrived - *mRequested <= kEstimateCutoff && aNow + expected <= LastAnswer();
+  return aWork.mArrived - *mRequested <= kEstimateCutoff &&
+         aNow + WithEstimateMargin(aWork.mExpected) <= LastAnswer();
 }
 
 } // namespace bronzering
--- a/packages/gateway/src/dispatch_waiter.cpp
+++ b/packages/gateway/src/dispatch_waiter.cpp
@@ -30,7 +30,7 @@
   auto entry = pending_wait{ boost::asio::steady_timer(mContext), std::nullopt };
   entry.mSignal.expires_at(boost::asio::steady_timer::time_point::max());
   mWaiting.emplace(exchange, &entry);
-  mQueue.Add(std::move(aTicket));
+  mQueue.Add(std::move(aTicket), ReadBootClock());
 
   // Withdraws the ticket if the wait ends before the decision, and releases the slot at the
   // endpoint if the wait was cancelled after the decision.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -236,7 +236,7 @@
       co_return;
     }
     const auto endpoint = *decision.mEndpoint;
-    if (!MayStart(endpoint.mExpectedEnd)) {
+    if (!MayStart(endpoint.mExpected.mEnd)) {
       mState.mEndpoints.End(mId, attempt_result::Abandoned, ReadBootClock());
       mState.mDispatchWaiter.Wake();
       co_await AnswerStopping();
@@ -541,9 +541,13 @@
 {
   auto excluded = mTriedEndpoints;
   excluded.push_back(mLastEndpoint);
-  const auto other = mState.mEndpoints.Choose(
-    mService, mMetadata.mEstimatedWork, excluded, slot_requirement::FreeSlotOrQueue, aNow);
-  return other && MayStart(other->mExpectedEnd);
+  const auto other = mState.mEndpoints.Choose(mService,
+                                              mMetadata.mEstimatedWork,
+                                              excluded,
+                                              slot_requirement::FreeSlotOrQueue,
+                                              { FirstEventBy() - aNow, mDeadline - aNow },
+                                              aNow);
+  return other && MayStart(other->mExpected.mEnd);
 }
 
 auto exchange::RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
@@ -635,6 +639,13 @@
   return std::max(duration::zero(), duration(end - aNow));
 }
 
+auto exchange::FirstEventBy() const -> time_point
+{
+  return mRoute->mMaxEventGap
+           ? std::min(mDeadline, mLastEvent.value_or(mArrived) + *mRoute->mMaxEventGap)
+           : mDeadline;
+}
+
 auto exchange::MayRetry() const -> bool
 {
   if (mExecutions >= mRoute->mMaxAttempts) {
@@ -681,7 +692,7 @@
   ticket.mRank = mRank;
   ticket.mIsUrgent = mRank <= mRoutes->MostUrgent();
   ticket.mArrived = mArrived;
-  ticket.mObjective = mRoute->mObjective;
+  ticket.mFirstEventBy = FirstEventBy();
   ticket.mDeadline = mDeadline;
   ticket.mExcluded = mTriedEndpoints;
   ticket.mIsRetry = mExecutions > 0;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -156,6 +156,8 @@
   [[nodiscard]] auto MayStart(duration aExpected) const -> bool;
   /// Time until the request's deadline, or until the end of the process if that is earlier.
   [[nodiscard]] auto TimeLeft(time_point aNow) const -> duration;
+  /// When the caller leaves if no further event arrives.
+  [[nodiscard]] auto FirstEventBy() const -> time_point;
   /// Whether the route allows another attempt.
   [[nodiscard]] auto MayRetry() const -> bool;
   /// Takes one retry from the service's budget. False when the budget is exhausted.
