Decide on a repeat as on a first attempt

What callers saw: a request whose first endpoint had failed was sent to a full endpoint at once, past more urgent requests that waited for a slot, and if there was no such endpoint it got 502 at once, though its caller had seconds left in which a slot would have come free.

Cause: dispatch_ticket::mIsRetry let a repeat pass the queue, and kept it from waiting there.

Change: the flag is gone. The same deadline, work and rank give the same decision. What tells a repeat apart is what may run again, the retry budget and max_attempts, all in exchange, and the endpoints that it has tried. A stream that is resumed midway has its caller's time counted from its last event, so it is short of time by itself.

Evidence: "a repeat waits for a free slot like a first attempt" fails on the code before (the repeat is answered while the only slot is still held).

--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -30,9 +30,6 @@
   time_point mDeadline;
   /// Endpoints that were already tried for this request.
   std::vector<std::string> mExcluded;
-  /// A retry of a request that may have run or has delivered events. It does not wait here: it is
-  /// sent at once if there is any endpoint, and rejected otherwise.
-  bool mIsRetry = false;
 };
 
 struct dispatch_decision
@@ -57,7 +54,8 @@
 /// A request is sent only where it is expected to be answered before its caller leaves. It waits as
 /// long as that stays possible: until its latest start, the caller's time less the work itself. It
 /// is rejected as soon as the requests before it, or the more urgent ones that keep arriving, leave
-/// no place for it by then, so that its caller loses no time and may be served elsewhere.
+/// no place for it by then, so that its caller loses no time and may be served elsewhere. Whether a
+/// request was sent before makes no difference: what counts is the time that its caller still has.
 ///
 /// Engines admit requests in order of arrival and have no priorities. Therefore only the most
 /// urgent requests may wait in a model's own queue; all others need a free slot. Under overload, a
--- a/packages/dispatch/src/dispatch_queue.cpp
+++ b/packages/dispatch/src/dispatch_queue.cpp
@@ -80,9 +80,7 @@
   }
 
   decision.mPlaceExpected = TimeToPlace(ticket, aOutlook, aNow);
-  const auto canStartInTime =
-    decision.mPlaceExpected && aNow + *decision.mPlaceExpected <= aQueued.mLatestStart;
-  if (!ticket.mIsRetry && canStartInTime) {
+  if (decision.mPlaceExpected && aNow + *decision.mPlaceExpected <= aQueued.mLatestStart) {
     return std::nullopt;
   }
   const auto timeLeft = std::max<duration>(ticket.mDeadline - aNow, duration::zero());
@@ -149,8 +147,8 @@
 {
   const auto* service = mEndpoints.ServiceOf(aTicket.mService);
   const auto isModel = service != nullptr && service->mIsModel;
-  return aTicket.mIsRetry || !isModel || aTicket.mIsUrgent ? slot_requirement::FreeSlotOrQueue
-                                                           : slot_requirement::FreeSlot;
+  return !isModel || aTicket.mIsUrgent ? slot_requirement::FreeSlotOrQueue
+                                       : slot_requirement::FreeSlot;
 }
 
 auto dispatch_queue::MoreUrgentRate(const dispatch_ticket& aTicket, time_point aNow) const -> double
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -48,8 +48,9 @@
 /// end, and several such answers have to fit into the entry's memory.
 constexpr auto kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 constexpr auto kMaxEventBytes = std::size_t{ 1 } * 1024 * 1024;
-/// Reason in answers and logs.
+/// Reasons in answers and logs.
 constexpr auto kStoppingReason = std::string_view("shutting down");
+constexpr auto kNoEndpointReason = std::string_view("no endpoint can answer in time");
 
 } // namespace
 
@@ -223,9 +224,9 @@
     mDecision = decision;
     if (!decision.mEndpoint) {
       if (mExecutions > 0) {
-        co_await Fail(502, "no other endpoint for a repeat");
+        co_await Fail(502, kNoEndpointReason);
       } else {
-        co_await Refuse(503, "no endpoint can answer in time", decision.mRetryAfter);
+        co_await Refuse(503, kNoEndpointReason, decision.mRetryAfter);
       }
       co_return;
     }
@@ -695,7 +696,6 @@
   ticket.mFirstEventBy = FirstEventBy();
   ticket.mDeadline = mDeadline;
   ticket.mExcluded = mTriedEndpoints;
-  ticket.mIsRetry = mExecutions > 0;
   return ticket;
 }
 
--- a/packages/gateway/tests/endpoint_failure_test.cpp
+++ b/packages/gateway/tests/endpoint_failure_test.cpp
@@ -116,6 +116,47 @@
   });
 }
 
+// A repeat was sent to a full endpoint, past requests that waited, or given up at once.
+TEST_CASE("a repeat waits for a free slot like a first attempt", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto arrived = 0;
+  const auto holdThenReset = [&](const http_request& aRequest) -> reaction {
+    switch (++arrived) {
+      case 1:
+        return { "", ending::Keep, SealedAnswer(aRequest, "held"), 150ms };
+      case 2:
+        return { "", ending::Reset };
+      default:
+        return CompleteAnswer(aRequest);
+    }
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", holdThenReset);
+  auto second = scripted_endpoint(fixture.Context(), "e2", holdThenReset);
+  auto listed = std::vector<listed_endpoint>{ first.Listed(), second.Listed() };
+  for (auto& endpoint : listed) {
+    endpoint.mSlots = 1;
+  }
+  auto document = TestDocument();
+  for (auto& route : document.mRoutes) {
+    // Less urgent than other routes, it needs a free slot.
+    route.mPriority = route.mName == "again" ? 1 : 0;
+  }
+  fixture.Publish(std::move(document), std::move(listed));
+  fixture.Run([&]() -> awaitable<void> {
+    auto held = std::optional<test_caller::answer>();
+    StartAsk(fixture, RequestText("/again/x", "", "held"), held);
+    co_await Pause(50ms);
+    auto repeated = RequestText("/again/x", "", "repeated");
+    const auto answer = co_await fixture.Ask(std::move(repeated));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+    REQUIRE(held);
+    CHECK(held->mStatus == 200);
+    CHECK(arrived == 3);
+  });
+}
+
 TEST_CASE("an endpoint gets no request after it has answered that it is leaving", "[entry_gateway]")
 {
   auto fixture = gateway_fixture();
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -347,6 +347,19 @@
                      aHeaders);
 }
 
+auto StartAsk(gateway_fixture& aFixture,
+              std::string aText,
+              std::optional<test_caller::answer>& aAnswer) -> void
+{
+  boost::asio::co_spawn(
+    aFixture.Context(),
+    [&aFixture, &aAnswer, text = std::move(aText)]() -> boost::asio::awaitable<void> {
+      auto copy = text;
+      aAnswer = co_await aFixture.Ask(std::move(copy));
+    },
+    boost::asio::detached);
+}
+
 auto Pause(std::chrono::milliseconds aTime) -> boost::asio::awaitable<void>
 {
   auto timer = boost::asio::steady_timer(co_await boost::asio::this_coro::executor);
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -145,6 +145,11 @@
                                const std::string& aHeaders = {},
                                const std::string& aId = "r1") -> std::string;
 
+/// Starts an exchange and stores its answer once it is there.
+auto StartAsk(gateway_fixture& aFixture,
+              std::string aText,
+              std::optional<test_caller::answer>& aAnswer) -> void;
+
 /// Waits for aTime on the executor of the caller.
 [[nodiscard]] auto Pause(std::chrono::milliseconds aTime) -> boost::asio::awaitable<void>;
 
