Start first what must start first to end in time

What callers saw: within a rank, requests went in order of arrival. A short answer whose caller leaves after 3 s waited behind answers whose callers had 15 s, and was given up though both could have been served.

Cause: dispatch_queue ordered by rank and arrival only.

Change: within a rank the queue goes by the latest start: the caller's time less the work. Requests alike keep their order of arrival, so the orders of one key stay fair, and nothing starves: a request that arrives later has a later latest start unless its caller has less time.

Evidence: "among requests of a rank the one that must start first goes first" expects 5, 3, 4, 2 where the order of arrival is 2, 3, 4, 5. dispatch tests pass (arm64).

--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -23,7 +23,6 @@
   request_rank mRank;
   /// No request is more urgent, so this one may wait in the queue of an endpoint.
   bool mIsUrgent = false;
-  time_point mArrived;
   /// When the caller leaves if no event has arrived since the last one, or since its request.
   time_point mFirstEventBy;
   /// When the caller's time for the whole answer is over.
@@ -49,7 +48,8 @@
 };
 
 /// Priority queue that decides when a request is sent and when it is rejected, by rank and then by
-/// order of arrival.
+/// what must start first to end in its caller's time. So a request that waits is overtaken within
+/// its rank only by one that has less time, and requests alike keep their order of arrival.
 ///
 /// A request is sent only where it is expected to be answered before its caller leaves. It waits as
 /// long as that stays possible: until its latest start, the caller's time less the work itself. It
@@ -80,17 +80,13 @@
   struct queue_key
   {
     request_rank mRank;
+    /// Started later, the request would probably end after its caller has left.
+    time_point mLatestStart;
     std::uint64_t mArrival = 0;
     // clang-tidy 14 reports the zero in a defaulted comparison as a null pointer.
     // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const queue_key&) const = default;
   };
-  struct queued_ticket
-  {
-    dispatch_ticket mTicket;
-    /// Started later, the request would probably end after its caller has left.
-    time_point mLatestStart;
-  };
   /// What a call of Decide has found out so far about the places of a service that a requirement
   /// allows. Sending takes capacity and frees none, so a service without a place stays without one.
   struct place_outlook
@@ -112,7 +108,8 @@
     }
   };
 
-  [[nodiscard]] auto DecideOne(const queued_ticket& aQueued,
+  [[nodiscard]] auto DecideOne(const dispatch_ticket& aTicket,
+                               time_point aLatestStart,
                                service_outlook& aOutlook,
                                time_point aNow) -> std::optional<dispatch_decision>;
   [[nodiscard]] auto ChooseFor(const dispatch_ticket& aTicket,
@@ -131,7 +128,7 @@
   auto RecordArrival(const dispatch_ticket& aTicket, time_point aNow) -> void;
 
   endpoint_table& mEndpoints;
-  std::map<queue_key, queued_ticket> mTickets;
+  std::map<queue_key, dispatch_ticket> mTickets;
   std::unordered_map<exchange_id, queue_key> mQueueKeys;
   std::uint64_t mArrivals = 0;
   std::map<std::string, std::map<request_rank, decaying_rate>, std::less<>> mArrivalRates;
--- a/packages/dispatch/src/dispatch_queue.cpp
+++ b/packages/dispatch/src/dispatch_queue.cpp
@@ -25,10 +25,9 @@
 {
   assert(!mQueueKeys.contains(aTicket.mExchange));
   RecordArrival(aTicket, aNow);
-  const auto latestStart = LatestStart(aTicket);
-  const auto key = queue_key{ aTicket.mRank, ++mArrivals };
+  const auto key = queue_key{ aTicket.mRank, LatestStart(aTicket), ++mArrivals };
   mQueueKeys.emplace(aTicket.mExchange, key);
-  mTickets.emplace(key, queued_ticket{ std::move(aTicket), latestStart });
+  mTickets.emplace(key, std::move(aTicket));
 }
 
 auto dispatch_queue::Cancel(exchange_id aExchange) -> void
@@ -46,9 +45,9 @@
   auto decisions = std::vector<dispatch_decision>();
   auto outlooks = std::map<std::string, service_outlook, std::less<>>();
   for (auto next = mTickets.begin(); next != mTickets.end();) {
-    const auto& ticket = next->second.mTicket;
+    const auto& ticket = next->second;
     auto& outlook = outlooks[ticket.mService];
-    auto decision = DecideOne(next->second, outlook, aNow);
+    auto decision = DecideOne(ticket, next->first.mLatestStart, outlook, aNow);
     if (!decision) {
       ++outlook.mWaiting;
       ++next;
@@ -65,28 +64,28 @@
   return decisions;
 }
 
-auto dispatch_queue::DecideOne(const queued_ticket& aQueued,
+auto dispatch_queue::DecideOne(const dispatch_ticket& aTicket,
+                               time_point aLatestStart,
                                service_outlook& aOutlook,
                                time_point aNow) -> std::optional<dispatch_decision>
 {
-  const auto& ticket = aQueued.mTicket;
   auto decision = dispatch_decision();
-  decision.mExchange = ticket.mExchange;
-  decision.mAllowed = ticket.mFirstEventBy - aNow;
-  decision.mEndpoint = ChooseFor(ticket, aOutlook, aNow);
+  decision.mExchange = aTicket.mExchange;
+  decision.mAllowed = aTicket.mFirstEventBy - aNow;
+  decision.mEndpoint = ChooseFor(aTicket, aOutlook, aNow);
   if (decision.mEndpoint) {
     decision.mExpected = decision.mEndpoint->mExpected.mFirstEvent;
     return decision;
   }
 
-  decision.mPlaceExpected = TimeToPlace(ticket, aOutlook, aNow);
-  if (decision.mPlaceExpected && aNow + *decision.mPlaceExpected <= aQueued.mLatestStart) {
+  decision.mPlaceExpected = TimeToPlace(aTicket, aOutlook, aNow);
+  if (decision.mPlaceExpected && aNow + *decision.mPlaceExpected <= aLatestStart) {
     return std::nullopt;
   }
-  const auto timeLeft = std::max<duration>(ticket.mDeadline - aNow, duration::zero());
+  const auto timeLeft = std::max<duration>(aTicket.mDeadline - aNow, duration::zero());
   const auto maxRetryAfter = FromSeconds(ToSeconds(timeLeft) * kMaxRetryFraction);
-  const auto retryAfter =
-    std::max(kRetryAfter, mEndpoints.TimeToAdmission(ticket.mService, RequirementOf(ticket), aNow));
+  const auto retryAfter = std::max(
+    kRetryAfter, mEndpoints.TimeToAdmission(aTicket.mService, RequirementOf(aTicket), aNow));
   decision.mRetryAfter = std::min(retryAfter, maxRetryAfter);
   return decision;
 }
--- a/packages/dispatch/tests/dispatch_queue_test.cpp
+++ b/packages/dispatch/tests/dispatch_queue_test.cpp
@@ -32,7 +32,6 @@
   ticket.mWork = { 100, aOutputTokens };
   ticket.mRank = { 0, aPriority };
   ticket.mIsUrgent = aPriority == 0;
-  ticket.mArrived = kStart;
   ticket.mFirstEventBy = kStart + 4s;
   ticket.mDeadline = kStart + 15s;
   return ticket;
@@ -70,6 +69,36 @@
   CHECK(decisions[0].mEndpoint);
 }
 
+// A short answer with a deadline of 3 s waited behind long ones that could have started later.
+TEST_CASE("among requests of a rank the one that must start first goes first", "[dispatch_queue]")
+{
+  auto table = Table(1);
+  auto queue = dispatch_queue(table);
+  queue.Add(Ticket(1, 0, 200), kStart);
+  REQUIRE(queue.Decide(kStart).size() == 1);
+  auto longer = Ticket(2, 1, 200);
+  auto shorter = Ticket(3, 1, 200);
+  shorter.mDeadline = kStart + 3s;
+  auto same = shorter;
+  same.mExchange = { 4 };
+  auto morePressing = Ticket(5, 1, 200);
+  // A longer prompt has to start earlier to have its first event by the same time.
+  morePressing.mWork.mPromptTokens = 100'000;
+  for (const auto& ticket : { longer, shorter, same, morePressing }) {
+    queue.Add(ticket, kStart + 1ms);
+  }
+  auto order = std::vector<std::uint64_t>();
+  for (auto running = std::uint64_t{ 1 }; order.size() < 4;) {
+    table.End({ running }, attempt_result::Answered, kStart + 10ms);
+    for (const auto& decision : queue.Decide(kStart + 10ms)) {
+      REQUIRE(decision.mEndpoint);
+      running = decision.mExchange.mValue;
+      order.push_back(running);
+    }
+  }
+  CHECK(order == std::vector<std::uint64_t>{ 5, 3, 4, 2 });
+}
+
 // Requests were rejected after a fixed part of the latency objective, though their callers would
 // have waited for the next free slot.
 TEST_CASE("a request waits as long as it can still be answered before its caller leaves",
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -692,7 +692,6 @@
   ticket.mWork = mMetadata.mEstimatedWork;
   ticket.mRank = mRank;
   ticket.mIsUrgent = mRank <= mRoutes->MostUrgent();
-  ticket.mArrived = mArrived;
   ticket.mFirstEventBy = FirstEventBy();
   ticket.mDeadline = mDeadline;
   ticket.mExcluded = mTriedEndpoints;
