Tell refused callers when a place is expected for them

What callers saw: a refusal said 50 ms whatever waited, so callers returned long before a place was free and were refused again, all of them at one moment; one whose request had been declined by endpoints was told its route's objective, which has nothing to do with it.

Cause: kRetryAfter and the objective as delays; the limit of what callers honour stood twice in the code.

Change: a rejection carries the time until a place is expected behind those that wait; ReturnDelay (dispatch) makes the delay of it for all refusals of the gateway: from that time on, spread over as long again. Callers honour a third of what they have left, so where the place is expected later, or none is in sight, they are told to return in the second half of that third. The log of a refusal has place_expected_us.

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -16,6 +16,7 @@
 #include <bronzering/dispatch/peer_table.h>
 #include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
+#include <bronzering/dispatch/return_delay.h>
 #include <bronzering/dispatch/route_table.h>
 #include <bronzering/dispatch/routing_document.h>
 #include <bronzering/dispatch/shutdown_schedule.h>
--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -36,14 +36,13 @@
   exchange_id mExchange;
   /// Endpoint to send the request to; empty if the request is rejected.
   std::optional<endpoint_table::choice> mEndpoint;
-  /// For rejections: time after which the caller should retry.
-  duration mRetryAfter{};
+  /// For rejections: time until a place is expected for the request; empty if none in which it
+  /// could end in time is in sight.
+  std::optional<duration> mPlaceExpected;
   /// Inputs of the decision, for the log: the endpoint's expected latency, the time in which the
-  /// first event has to come, the time until a place is expected (empty if none is in sight), and
-  /// the number of other requests in the queue.
+  /// first event has to come, and the number of other requests in the queue.
   duration mExpected{};
   duration mAllowed{};
-  std::optional<duration> mPlaceExpected;
   std::size_t mWaiting = 0;
 };
 
@@ -73,6 +72,10 @@
   /// Returns the decisions that can be made now and removes their tickets from the queue. A
   /// dispatched ticket is added to the outstanding work of its endpoint.
   [[nodiscard]] auto Decide(time_point aNow) -> std::vector<dispatch_decision>;
+  /// Time until a place is expected for a request that is not queued, behind those that would go
+  /// before it; empty if none is in sight.
+  [[nodiscard]] auto TimeToPlace(const dispatch_ticket& aTicket, time_point aNow) const
+    -> std::optional<duration>;
   [[nodiscard]] auto empty() const -> bool { return mTickets.empty(); }
   [[nodiscard]] auto size() const -> std::size_t { return mTickets.size(); }
 
--- a/packages/dispatch/src/dispatch_queue.cpp
+++ b/packages/dispatch/src/dispatch_queue.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-/// The retry delay of a rejection, and its upper bound as a fraction of the time left until the
-/// deadline.
-constexpr auto kRetryAfter = duration(std::chrono::milliseconds(50));
-constexpr auto kMaxRetryFraction = 1.0 / 3;
 /// Requests per second below which a rank counts as silent and is forgotten.
 constexpr auto kSilentRate = 0.01;
 
@@ -82,11 +78,10 @@
   if (decision.mPlaceExpected && aNow + *decision.mPlaceExpected <= aLatestStart) {
     return std::nullopt;
   }
-  const auto timeLeft = std::max<duration>(aTicket.mDeadline - aNow, duration::zero());
-  const auto maxRetryAfter = FromSeconds(ToSeconds(timeLeft) * kMaxRetryFraction);
-  const auto retryAfter = std::max(
-    kRetryAfter, mEndpoints.TimeToAdmission(aTicket.mService, RequirementOf(aTicket), aNow));
-  decision.mRetryAfter = std::min(retryAfter, maxRetryAfter);
+  if (aNow > aLatestStart) {
+    // Whenever a place comes, the work takes longer than the caller waits.
+    decision.mPlaceExpected.reset();
+  }
   return decision;
 }
 
@@ -108,6 +103,19 @@
   return best;
 }
 
+auto dispatch_queue::TimeToPlace(const dispatch_ticket& aTicket, time_point aNow) const
+  -> std::optional<duration>
+{
+  auto outlook = service_outlook();
+  const auto key = queue_key{ aTicket.mRank, LatestStart(aTicket), mArrivals };
+  const auto end = mTickets.upper_bound(key);
+  outlook.mWaiting =
+    static_cast<std::size_t>(std::count_if(mTickets.begin(), end, [&](const auto& aQueued) {
+      return aQueued.second.mService == aTicket.mService;
+    }));
+  return TimeToPlace(aTicket, outlook, aNow);
+}
+
 auto dispatch_queue::TimeToPlace(const dispatch_ticket& aTicket,
                                  service_outlook& aOutlook,
                                  time_point aNow) const -> std::optional<duration>
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -4,6 +4,7 @@
 #include "with_timeout.h"
 
 #include <bronzering/base/boot_clock.h>
+#include <bronzering/dispatch/return_delay.h>
 
 #include <boost/beast/http/status.hpp>
 #include <boost/json/serialize.hpp>
@@ -34,13 +35,14 @@
 constexpr auto kEventStallTimeout = duration(std::chrono::milliseconds(1'000));
 /// Maximum number of attempts of one request, including those that the endpoint declined.
 constexpr auto kMaxSends = 4U;
-/// Another entry can serve a request at once that this one refuses because it is shutting down.
-constexpr auto kStoppingRetryAfter = duration(std::chrono::milliseconds(50));
-/// How long a request waits for the first routing document after a start.
+/// Another entry can serve a request at once that this one refuses because it is shutting down. The
+/// delay spreads the callers of its connections over the other entries' event loops.
+constexpr auto kStoppingReturn = duration(std::chrono::milliseconds(50));
+/// How long a request waits for the first routing document after a start. Where that was in vain,
+/// the caller returns after about as long again.
 constexpr auto kConfigurationWait = duration(std::chrono::milliseconds(400));
-constexpr auto kConfigurationRetryAfter = duration(std::chrono::milliseconds(500));
-/// Callers honour a Retry-After of at most this share of their remaining time.
-constexpr auto kMaxRetryAfterShare = 1.0 / 3;
+/// Time that a caller is taken to have left if it names none and its route is not known.
+constexpr auto kDefaultTimeLeft = duration(std::chrono::milliseconds(1'500));
 /// Events after which an endpoint counts as answering. An endpoint that crashes on a request may
 /// still have sent its first event.
 constexpr auto kAnsweringEvents = 2U;
@@ -134,7 +136,7 @@
 {
   mState.mMetrics.Counter("bronzering_shutdown_refusals_total").Add();
   if (mExecutions == 0) {
-    co_await Refuse(503, kStoppingReason, kStoppingRetryAfter);
+    co_await Refuse(503, kStoppingReason, kStoppingReturn);
   } else {
     co_await Fail(502, kStoppingReason);
   }
@@ -151,7 +153,7 @@
     mRoutes = mState.mRoutes;
   }
   if (!mRoutes) {
-    co_await Refuse(503, "no configuration yet", kConfigurationRetryAfter);
+    co_await Refuse(503, "no configuration yet", kConfigurationWait);
     co_return false;
   }
   mRoute = mRoutes->FindRoute(
@@ -226,7 +228,7 @@
       if (mExecutions > 0) {
         co_await Fail(502, kNoEndpointReason);
       } else {
-        co_await Refuse(503, kNoEndpointReason, decision.mRetryAfter);
+        co_await Refuse(503, kNoEndpointReason, decision.mPlaceExpected);
       }
       co_return;
     }
@@ -261,7 +263,8 @@
     const auto isTaken = std::exchange(mIsRetryTaken, false);
     if (!isRepeatable || mSends >= kMaxSends || !(isFree || isTaken || TakeRetry())) {
       if (mExecutions == 0) {
-        co_await Refuse(503, "endpoints declined", mRoute->mObjective);
+        const auto place = mState.mDispatchWaiter.TimeToPlace(Ticket());
+        co_await Refuse(503, "endpoints declined", place);
       } else {
         co_await Fail(502, "endpoint failed");
       }
@@ -574,15 +577,14 @@
   }
 }
 
-auto exchange::Refuse(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
+auto exchange::Refuse(unsigned aStatus, std::string_view aReason, std::optional<duration> aExpected)
   -> boost::asio::awaitable<void>
 {
-  const auto callerTimeout = mMetadata.mCallerTimeout.value_or(
-    mRoute == nullptr ? kConfigurationRetryAfter * 3 : mRoute->mTimeout);
+  const auto callerTimeout =
+    mMetadata.mCallerTimeout.value_or(mRoute == nullptr ? kDefaultTimeLeft : mRoute->mTimeout);
   const auto left =
     std::max(duration::zero(), duration(mArrived + callerTimeout - ReadBootClock()));
-  const auto retryAfter = std::min(aRetryAfter, FromSeconds(ToSeconds(left) * kMaxRetryAfterShare));
-  co_await RefuseFor(aStatus, aReason, retryAfter);
+  co_await RefuseFor(aStatus, aReason, ReturnDelay(aExpected, left, mState.mRandom.Uniform01()));
 }
 
 auto exchange::RefuseFor(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -138,8 +138,9 @@
     -> boost::asio::awaitable<void>;
   /// Passes on what an attempt says about the parts of the prompt.
   auto ReportBrokenAttempt(const attempt& aAttempt) -> void;
-  /// Refuses the request with the given retry delay, limited to what callers wait for.
-  auto Refuse(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
+  /// Refuses the request. aExpected is the time after which it could be served; empty if that is
+  /// not known.
+  auto Refuse(unsigned aStatus, std::string_view aReason, std::optional<duration> aExpected)
     -> boost::asio::awaitable<void>;
   /// Refuses the request with exactly the given retry delay.
   auto RefuseFor(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -70,6 +70,9 @@
     aLine["expected_us"] = Micros(mDecision->mExpected);
     aLine["allowed_us"] = Micros(mDecision->mAllowed);
     aLine["waiting"] = mDecision->mWaiting;
+    if (mDecision->mPlaceExpected) {
+      aLine["place_expected_us"] = Micros(*mDecision->mPlaceExpected);
+    }
   }
   if (const auto limited = mState.mEndpoints.RateLimitedCount(mService, ReadBootClock())) {
     aLine["rate_limited"] = limited;
