Retry a failed answer where it can end before the deadline

What callers saw: an endpoint's error was passed on, although its route may be retried and another endpoint was free, once the caller had less time left than the route's objective.

Cause: exchange::RelayBuffered compared the time left with the objective. A stalled attempt was given up for any endpoint with a place in its queue, also where the queue would not have let the request pass.

Change: dispatch_queue says for a request that is not queued where it would be sent now (Preview) and whether it could wait and still end in time (MayWait). An error is kept for a retry if one of both holds; a pending answer is given up only if the retry is sent at once.

--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -72,6 +72,11 @@
   /// Returns the decisions that can be made now and removes their tickets from the queue. A
   /// dispatched ticket is added to the outstanding work of its endpoint.
   [[nodiscard]] auto Decide(time_point aNow) -> std::vector<dispatch_decision>;
+  /// The endpoint that a request that is not queued would be sent to now; empty if it would not.
+  [[nodiscard]] auto Preview(const dispatch_ticket& aTicket, time_point aNow) const
+    -> std::optional<endpoint_table::choice>;
+  /// Whether a request that is not queued could wait for a place and still end in time.
+  [[nodiscard]] auto MayWait(const dispatch_ticket& aTicket, time_point aNow) const -> bool;
   /// Time until a place is expected for a request that is not queued, behind those that would go
   /// before it; empty if none is in sight.
   [[nodiscard]] auto TimeToPlace(const dispatch_ticket& aTicket, time_point aNow) const
--- a/packages/dispatch/src/dispatch_queue.cpp
+++ b/packages/dispatch/src/dispatch_queue.cpp
@@ -103,6 +103,19 @@
   return best;
 }
 
+auto dispatch_queue::Preview(const dispatch_ticket& aTicket, time_point aNow) const
+  -> std::optional<endpoint_table::choice>
+{
+  auto outlook = service_outlook();
+  return ChooseFor(aTicket, outlook, aNow);
+}
+
+auto dispatch_queue::MayWait(const dispatch_ticket& aTicket, time_point aNow) const -> bool
+{
+  const auto place = TimeToPlace(aTicket, aNow);
+  return place && aNow + *place <= LatestStart(aTicket);
+}
+
 auto dispatch_queue::TimeToPlace(const dispatch_ticket& aTicket, time_point aNow) const
   -> std::optional<duration>
 {
--- a/packages/gateway/src/dispatch_waiter.cpp
+++ b/packages/gateway/src/dispatch_waiter.cpp
@@ -60,11 +60,6 @@
   co_return std::move(*entry.mDecision);
 }
 
-auto dispatch_waiter::TimeToPlace(const dispatch_ticket& aTicket) const -> std::optional<duration>
-{
-  return mQueue.TimeToPlace(aTicket, ReadBootClock());
-}
-
 auto dispatch_waiter::Wake() -> void
 {
   if (mQueue.empty() || mIsDecisionPosted) {
--- a/packages/gateway/src/dispatch_waiter.h
+++ b/packages/gateway/src/dispatch_waiter.h
@@ -20,8 +20,8 @@
 
   /// Waits for the decision on the ticket. Cancelling the wait withdraws the ticket.
   auto Wait(dispatch_ticket aTicket) -> boost::asio::awaitable<dispatch_decision>;
-  /// Time until a place is expected for a request that does not wait; empty if none is in sight.
-  [[nodiscard]] auto TimeToPlace(const dispatch_ticket& aTicket) const -> std::optional<duration>;
+  /// The queue, for questions about requests that do not wait.
+  [[nodiscard]] auto Queue() const -> const dispatch_queue& { return mQueue; }
   /// Schedules an evaluation after the outstanding work or the list of endpoints has changed.
   auto Wake() -> void;
   [[nodiscard]] auto WaitingCount() const -> std::size_t { return mQueue.size(); }
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -263,7 +263,7 @@
     const auto isTaken = std::exchange(mIsRetryTaken, false);
     if (!isRepeatable || mSends >= kMaxSends || !(isFree || isTaken || TakeRetry())) {
       if (mExecutions == 0) {
-        const auto place = mState.mDispatchWaiter.TimeToPlace(Ticket());
+        const auto place = mState.mDispatchWaiter.Queue().TimeToPlace(Ticket(), ReadBootClock());
         co_await Refuse(503, "endpoints declined", place);
       } else {
         co_await Fail(502, "endpoint failed");
@@ -438,8 +438,8 @@
   if (mResponseWriter.HasStarted()) {
     co_return execution_outcome::MayHaveExecuted;
   }
-  if (isError && MayRetry() && mSends < kMaxSends &&
-      TimeLeft(ReadBootClock()) > mRoute->mObjective && MayStart(duration::zero()) && TakeRetry()) {
+  if (isError && MayRetry() && mSends < kMaxSends && CanEndElsewhere(ReadBootClock()) &&
+      TakeRetry()) {
     co_return execution_outcome::Retry;
   }
   mFirstEvent = ReadBootClock();
@@ -526,7 +526,7 @@
   mState.mEndpoints.OnStall(mId, now);
   // The endpoint may only be slow, so its answer is given up only for a retry that can be made.
   const auto mayRetry = MayRetry() && mSends < kMaxSends;
-  mIsRetryTaken = mayRetry && HasOtherEndpoint(now) && TakeRetry();
+  mIsRetryTaken = mayRetry && CanBeSentElsewhere(now) && TakeRetry();
   mState.mLog.Write(log_priority::Notable,
                     "endpoint_silent",
                     { { "request", mMetadata.mId },
@@ -541,19 +541,19 @@
   }
 }
 
-auto exchange::HasOtherEndpoint(time_point aNow) const -> bool
+auto exchange::CanBeSentElsewhere(time_point aNow) const -> bool
 {
-  auto excluded = mTriedEndpoints;
-  excluded.push_back(mLastEndpoint);
-  const auto other = mState.mEndpoints.Choose(mService,
-                                              mMetadata.mEstimatedWork,
-                                              excluded,
-                                              slot_requirement::FreeSlotOrQueue,
-                                              { FirstEventBy() - aNow, mDeadline - aNow },
-                                              aNow);
+  const auto other = mState.mDispatchWaiter.Queue().Preview(TicketForOthers(), aNow);
   return other && MayStart(other->mExpected.mEnd);
 }
 
+auto exchange::CanEndElsewhere(time_point aNow) const -> bool
+{
+  return CanBeSentElsewhere(aNow) ||
+         (MayStart(duration::zero()) &&
+          mState.mDispatchWaiter.Queue().MayWait(TicketForOthers(), aNow));
+}
+
 auto exchange::RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
   -> boost::asio::awaitable<void>
 {
@@ -686,6 +686,13 @@
   return request;
 }
 
+auto exchange::TicketForOthers() const -> dispatch_ticket
+{
+  auto ticket = Ticket();
+  ticket.mExcluded.push_back(mLastEndpoint);
+  return ticket;
+}
+
 auto exchange::Ticket() const -> dispatch_ticket
 {
   auto ticket = dispatch_ticket();
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -130,8 +130,11 @@
   auto ArmStallTimer(endpoint_call& aCall, duration aTimeout) -> void;
   /// Reports a stall of the endpoint, and aborts the attempt if the request can be retried now.
   auto OnStall(endpoint_call& aCall) -> void;
-  /// Whether an endpoint that has not been tried can take the request, and end it in time.
-  [[nodiscard]] auto HasOtherEndpoint(time_point aNow) const -> bool;
+  /// Whether the request would be sent to an endpoint that has not been tried now, and end in time.
+  [[nodiscard]] auto CanBeSentElsewhere(time_point aNow) const -> bool;
+  /// Whether the request is expected to end in time at an endpoint that has not been tried, even if
+  /// it has to wait for a place there.
+  [[nodiscard]] auto CanEndElsewhere(time_point aNow) const -> bool;
 
   /// Refuses a request with a quarantined part.
   auto RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
@@ -166,6 +169,8 @@
   [[nodiscard]] auto ComposeRequest(const std::string& aEndpoint) const -> http_request;
   /// The request as it is queued until an endpoint is chosen.
   [[nodiscard]] auto Ticket() const -> dispatch_ticket;
+  /// The same without the endpoint that the request is at now.
+  [[nodiscard]] auto TicketForOthers() const -> dispatch_ticket;
   /// Adds the inputs of the dispatch or quota decision to a log line, with the revision of the
   /// published_items that this entry holds.
   auto AddDecisionInputs(boost::json::object& aLine) const -> void;
--- a/packages/gateway/tests/endpoint_failure_test.cpp
+++ b/packages/gateway/tests/endpoint_failure_test.cpp
@@ -116,6 +116,56 @@
   });
 }
 
+// With less time left than the route's objective, callers got the error though another endpoint had
+// time enough.
+TEST_CASE("an error is retried elsewhere if that can end before the deadline", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto arrived = 0;
+  auto silence = 0ms;
+  const auto failFirst = [&](const http_request& aRequest) -> reaction {
+    if (++arrived > 1) {
+      return CompleteAnswer(aRequest);
+    }
+    const auto id = std::string(aRequest["Request-Id"]);
+    return { "",
+             ending::Keep,
+             "HTTP/1.1 500 Error\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n",
+             silence };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", failFirst);
+  auto second = scripted_endpoint(fixture.Context(), "e2", failFirst);
+  auto document = TestDocument();
+  for (auto& route : document.mRoutes) {
+    route.mObjective = 2s;
+  }
+  fixture.Publish(std::move(document), { first.Listed(), second.Listed() });
+  const auto answerWithin = [&](std::string aDeadline) -> awaitable<unsigned> {
+    auto request = RequestText("/again/x", "Tokens: 10,60\r\nDeadline-Ms: " + aDeadline + "\r\n");
+    const auto answer = co_await fixture.Ask(std::move(request));
+    REQUIRE(answer);
+    co_return answer->mStatus;
+  };
+  SECTION("there is time for a second attempt")
+  {
+    fixture.Run([&]() -> awaitable<void> {
+      const auto status = co_await answerWithin("1000");
+      CHECK(status == 200);
+      CHECK(arrived == 2);
+    });
+  }
+  SECTION("there is not")
+  {
+    // 0.27 s are expected of 60 tokens, with the margin for the error of the estimate 0.41 s.
+    silence = 300ms;
+    fixture.Run([&]() -> awaitable<void> {
+      const auto status = co_await answerWithin("650");
+      CHECK(status == 500);
+      CHECK(arrived == 1);
+    });
+  }
+}
+
 // A repeat was sent to a full endpoint, past requests that waited, or given up at once.
 TEST_CASE("a repeat waits for a free slot like a first attempt", "[entry_gateway]")
 {
--- a/packages/gateway/tests/shutdown_test.cpp
+++ b/packages/gateway/tests/shutdown_test.cpp
@@ -106,7 +106,6 @@
   listed.mSlots = 1;
   auto document = TestDocument();
   for (auto& route : document.mRoutes) {
-    route.mObjective = 60s;
     route.mPriority = route.mName == "once" ? 0 : 1;
   }
   fixture.Publish(std::move(document), { std::move(listed) });
