Remove the objective from the product's decisions

The one thing that callers do by it, leaving a stream after four objectives without an event, is the route's mMaxEventGap.

Change: the field and its default are gone, so no decision can depend on an objective.

--- a/packages/dispatch/include/bronzering/dispatch/routing_document.h
+++ b/packages/dispatch/include/bronzering/dispatch/routing_document.h
@@ -31,6 +31,8 @@
 {
   std::string mService;
   std::uint32_t mWeight = 1;
+
+  auto operator==(const weighted_service&) const -> bool = default;
 };
 
 /// Rules for the requests that match a host and path prefix; the longest matching prefix wins.
@@ -46,8 +48,6 @@
   bool mIsPublic = false;
   /// Maximum time until the response is complete.
   duration mTimeout{};
-  /// Latency objective: time to the complete response, or to the first event of a stream.
-  duration mObjective{};
   /// Time without an event, also before the first one, after which callers leave a stream; empty if
   /// they wait until their deadline.
   std::optional<duration> mMaxEventGap;
@@ -55,6 +55,8 @@
   std::uint32_t mPriority = 0;
   /// Maximum number of endpoints that one request may be sent to.
   std::uint32_t mMaxAttempts = 1;
+
+  auto operator==(const route_spec&) const -> bool = default;
 };
 
 struct service_spec
--- a/packages/gateway/tests/endpoint_failure_test.cpp
+++ b/packages/gateway/tests/endpoint_failure_test.cpp
@@ -135,11 +135,7 @@
   };
   auto first = scripted_endpoint(fixture.Context(), "e1", failFirst);
   auto second = scripted_endpoint(fixture.Context(), "e2", failFirst);
-  auto document = TestDocument();
-  for (auto& route : document.mRoutes) {
-    route.mObjective = 2s;
-  }
-  fixture.Publish(std::move(document), { first.Listed(), second.Listed() });
+  fixture.Publish(TestDocument(), { first.Listed(), second.Listed() });
   const auto answerWithin = [&](std::string aDeadline) -> awaitable<unsigned> {
     auto request = RequestText("/again/x", "Tokens: 10,60\r\nDeadline-Ms: " + aDeadline + "\r\n");
     const auto answer = co_await fixture.Ask(std::move(request));
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -324,7 +324,6 @@
     route.mRetryPolicy = aRule;
     route.mIsStream = aIsStream;
     route.mTimeout = std::chrono::seconds(10);
-    route.mObjective = std::chrono::milliseconds(500);
     route.mMaxAttempts = aRule == retry_policy::Once ? 1 : 2;
     document.mRoutes.push_back(std::move(route));
   };
