Pass over an endpoint that declined until it has a free slot

What callers saw: an endpoint that had turned a request away as full got further ones 50 ms later, which it turned away too; each costs its caller a round trip and the service a retry of its budget.

Cause: kDeclinedAvoidance, one figure for models, whose slots come free a few times a second, and for services that answer in 30 ms.

Change: the time is the mean interval at which one of the endpoint's slots becomes free, from the measured time for which a request occupies one. The doc comments of kFailurePenalty and kEstimateCutoff give the caller's reason.

Evidence: the new case of endpoint_table_test fails with the 50 ms ("one" is chosen again at 499 ms). dispatch tests pass (arm64).

--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -226,6 +226,8 @@
                     slot_requirement aRequirement,
                     time_point aNow,
                     Visitor&& aVisitor) const -> void;
+  /// Mean time after which one of the endpoint's slots becomes free while all are in use.
+  [[nodiscard]] auto SlotInterval(const endpoint_state& aEndpoint) const -> duration;
   /// Expected wait in the endpoint's own queue until a slot is free; zero if one is.
   [[nodiscard]] auto SlotWait(const endpoint_state& aEndpoint,
                               const service_spec& aService,
--- a/packages/dispatch/include/bronzering/dispatch/shutdown_schedule.h
+++ b/packages/dispatch/include/bronzering/dispatch/shutdown_schedule.h
@@ -16,6 +16,7 @@
 public:
   /// Work whose end is only estimated may be started if its request arrived this soon after the
   /// stop request. Load balancers notice within that time that the process is not ready any more.
+  /// Later callers are better served by another process: an estimate that fails would cut them off.
   static constexpr auto kEstimateCutoff = std::chrono::milliseconds(2'800);
 
   /// What is known of a request when it is about to be sent to an endpoint.
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -43,7 +43,8 @@
 constexpr auto kMinRemainingTokens = 32U;
 
 /// Weight of one result in the moving average of the failure rate (0 to 1), and the time that a
-/// failure rate of 1 adds to the endpoint's expected latency.
+/// caller loses by a failed attempt: until the failure is noticed and the request is sent again. An
+/// endpoint's expected latency includes it in proportion to its failure rate.
 constexpr auto kFailureWeight = 0.1;
 constexpr auto kFailurePenalty = duration(std::chrono::milliseconds(400));
 /// Number of consecutive failures of any kind from which on an endpoint is avoided. An unreachable
@@ -56,9 +57,6 @@
 /// Keeps the doubling from overflowing. It is large enough that kMaxAvoidance is always the
 /// effective limit.
 constexpr auto kMaxAvoidanceDoublings = 3U;
-/// How long an endpoint that declined a request is avoided: about the time until a slot becomes
-/// free.
-constexpr auto kDeclinedAvoidance = duration(std::chrono::milliseconds(50));
 
 auto UpdateAverage(double aOld, double aSample, double aWeight) -> double
 {
@@ -378,7 +376,9 @@
       break;
     }
     case attempt_result::Declined:
-      endpoint->mAvoidUntil = std::max(endpoint->mAvoidUntil, aNow + kDeclinedAvoidance);
+      // It is full, whatever is known of its load. A request that is sent there before a slot is
+      // free only loses its caller's time.
+      endpoint->mAvoidUntil = std::max(endpoint->mAvoidUntil, aNow + SlotInterval(*endpoint));
       break;
     case attempt_result::Unreachable:
       AddFailure(*endpoint, kFirstAvoidance, aNow);
@@ -578,6 +578,13 @@
   return speed;
 }
 
+auto endpoint_table::SlotInterval(const endpoint_state& aEndpoint) const -> duration
+{
+  const auto slotTime = mSlotTimes.find(aEndpoint.mListed.mService);
+  const auto known = slotTime == mSlotTimes.end() ? kDefaultServiceTime : slotTime->second;
+  return known / std::max(aEndpoint.mListed.mSlots, 1U);
+}
+
 auto endpoint_table::SlotWait(const endpoint_state& aEndpoint,
                               const service_spec& aService,
                               const endpoint_load& aTotal) const -> duration
--- a/packages/dispatch/tests/endpoint_table_test.cpp
+++ b/packages/dispatch/tests/endpoint_table_test.cpp
@@ -199,6 +199,22 @@
   CHECK(rate() == Approx(3));
 }
 
+// An endpoint that had declined got the next requests after 50 ms, long before it had a free slot.
+TEST_CASE("an endpoint that declined is passed over until a slot is expected to be free there",
+          "[endpoint_table]")
+{
+  auto table = Table();
+  table.Begin({ 1 }, "one", { 0, 500 }, kStart);
+  table.End({ 1 }, attempt_result::Answered, kStart + 1s);
+  // An answer occupies one of two slots for 1 s.
+  const auto now = kStart + 1s;
+  table.Begin({ 2 }, "one", { 0, 500 }, now);
+  table.End({ 2 }, attempt_result::Declined, now);
+  table.Begin({ 3 }, "two", { 0, 500 }, now);
+  CHECK(ChosenId(table, now + 499ms) == "two");
+  CHECK(ChosenId(table, now + 500ms) == "one");
+}
+
 TEST_CASE("a single failure does not exclude an endpoint, consecutive ones do", "[endpoint_table]")
 {
   auto table = Table();
