Measure the use of slots also by requests that waited for one

It measured the time for which a request occupies a slot only by requests that found one free; under overload those are a few short ones.

Change: a request that waited in the endpoint's queue is measured too: the time since its first event, and the expected time to that event at an idle endpoint.

--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -205,6 +205,7 @@
     bool mHadFreeSlot = false;
     bool mHasFirstEvent = false;
     time_point mSent;
+    time_point mFirstEvent;
     time_point mLastEvent;
   };
   /// Whether the endpoint is shutting down, according to the list or to its own answers.
@@ -245,7 +246,10 @@
                               const outstanding_request& aSent,
                               std::uint64_t aTokens,
                               time_point aNow) -> void;
-  auto MeasureSlotTime(const std::string& aService, duration aSample) -> void;
+  /// Records the time for which an answered request has occupied a slot.
+  auto MeasureSlotTime(const endpoint_state& aEndpoint,
+                       const outstanding_request& aSent,
+                       time_point aNow) -> void;
   [[nodiscard]] auto Find(const outstanding_request& aSent) -> endpoint_state*;
 
   endpoint_preference mPreference;
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -290,6 +290,7 @@
                                             total.mRequests < endpoint.mListed.mSlots,
                                             false,
                                             aNow,
+                                            aNow,
                                             aNow });
   mRateLimits.OnSent(endpoint.mIncarnationKey, aNow);
   ++endpoint.mOwnLoad.mRequests;
@@ -316,6 +317,7 @@
   if (!sent.mHasFirstEvent) {
     MeasurePrefillSpeed(*endpoint, sent, aNow);
     sent.mHasFirstEvent = true;
+    sent.mFirstEvent = aNow;
     endpoint->mOwnLoad.mPromptTokens -=
       std::min(endpoint->mOwnLoad.mPromptTokens, sent.mWork.mPromptTokens);
   } else {
@@ -354,9 +356,8 @@
   }
   ownLoad.mOutputTokens -= std::min(ownLoad.mOutputTokens, sent.mRemainingTokens);
 
-  const auto hasRun = aResult == attempt_result::Answered || aResult == attempt_result::Failed;
-  if (hasRun && sent.mHadFreeSlot) {
-    MeasureSlotTime(endpoint->mListed.mService, aNow - sent.mSent);
+  if (aResult == attempt_result::Answered || aResult == attempt_result::Failed) {
+    MeasureSlotTime(*endpoint, sent, aNow);
   }
 
   // Update health and, for services that are not models, speed.
@@ -677,11 +678,27 @@
                   kTokenTimeWeight)));
 }
 
-auto endpoint_table::MeasureSlotTime(const std::string& aService, duration aSample) -> void
+auto endpoint_table::MeasureSlotTime(const endpoint_state& aEndpoint,
+                                     const outstanding_request& aSent,
+                                     time_point aNow) -> void
 {
-  auto& average = mSlotTimes[aService];
+  const auto* service = ServiceOf(aEndpoint.mListed.mService);
+  if (service == nullptr) {
+    return;
+  }
+  auto sample = duration(aNow - aSent.mSent);
+  if (!aSent.mHadFreeSlot) {
+    // Under overload most requests wait in the endpoint's queue first. They get the slot shortly
+    // before their first event; without events it is not known when.
+    if (!aSent.mHasFirstEvent) {
+      return;
+    }
+    sample = duration(aNow - aSent.mFirstEvent) +
+             ExpectedTimes(aEndpoint, *service, {}, aSent.mWork).mFirstEvent;
+  }
+  auto& average = mSlotTimes[service->mName];
   average = duration(static_cast<duration::rep>(UpdateAverage(
-    static_cast<double>(average.count()), static_cast<double>(aSample.count()), kSlotTimeWeight)));
+    static_cast<double>(average.count()), static_cast<double>(sample.count()), kSlotTimeWeight)));
 }
 
 auto endpoint_table::Find(const outstanding_request& aSent) -> endpoint_state*
--- a/packages/dispatch/tests/endpoint_table_test.cpp
+++ b/packages/dispatch/tests/endpoint_table_test.cpp
@@ -215,6 +215,23 @@
   CHECK(ChosenId(table, now + 500ms) == "one");
 }
 
+// An entry that had measured one short answer, while all others had waited at endpoints, expected
+// eight times the places that there were, and let requests wait that had no chance.
+TEST_CASE("the use of slots is also measured by requests that waited for one", "[endpoint_table]")
+{
+  auto table = Table();
+  table.Begin({ 1 }, "one", { 0, 10 }, kStart);
+  table.End({ 1 }, attempt_result::Answered, kStart + 100ms);
+  table.SetPeerLoads("peer", { { HashEndpointId("one"), 2, 0, 0 } });
+  for (auto request = 2U; request < 202; ++request) {
+    // It waits for 2 s, has its first event after 50 ms more, and ends 950 ms later.
+    table.Begin({ request }, "one", { 0, 500 }, kStart);
+    table.OnEvents({ request }, 1, kStart + 2050ms);
+    table.End({ request }, attempt_result::Answered, kStart + 3s);
+  }
+  CHECK(table.PlaceRate("model", { 0, 500 }, {}, kStart) == Approx(4).epsilon(0.01));
+}
+
 TEST_CASE("a single failure does not exclude an endpoint, consecutive ones do", "[endpoint_table]")
 {
   auto table = Table();
