Take an organisation's units when its request is sent

Cause: units were taken on arrival and given back on a refusal. Requests that wait for seconds, and may still be refused, kept the limit from others of the organisation.

Change: on arrival a request is refused only if the limit is used up by what was sent; its units are taken when it is first sent, where the limit is asked again. So no more is sent than before.

Evidence: "a request that waits takes nothing from its organisation's limit" (not run on the code before, by which the third request is refused at once). gateway tests pass (arm64).

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -188,19 +188,9 @@
     co_return false;
   }
 
-  if (mOrganisation != nullptr && mOrganisation->mRate > 0) {
-    const auto units = !mOrganisation->mCountsTokens ? 1
-                       : mMetadata.mDeclaredWork
-                         ? static_cast<double>(mMetadata.mDeclaredWork->mPromptTokens +
-                                               mMetadata.mDeclaredWork->mOutputTokens)
-                         : mOrganisation->mDefaultUnits;
-    const auto wait = mState.mRateLimiter.Spend(mOrganisation->mName, units, mArrived);
-    if (wait > duration::zero()) {
-      mRefusedUnits = units;
-      co_await Refuse(429, "limit of the organisation", wait);
-      co_return false;
-    }
-    mSpentUnits = units;
+  if (const auto wait = TimeToLimit(0); wait > duration::zero()) {
+    co_await RefuseOverLimit(wait);
+    co_return false;
   }
   mState.mRetryBudgets[mService].OnRequest(mArrived);
   mState.mDemand.OnEvent(ReadBootClock());
@@ -245,6 +235,17 @@
       co_await AnswerStopping();
       co_return;
     }
+    // Units are taken only now: those of requests that wait and may still be refused would be
+    // missing to others of the organisation.
+    if (mSpentUnits == 0) {
+      if (const auto wait = TimeToLimit(LimitUnits()); wait > duration::zero()) {
+        mState.mEndpoints.End(mId, attempt_result::Abandoned, ReadBootClock());
+        mState.mDispatchWaiter.Wake();
+        co_await RefuseOverLimit(wait);
+        co_return;
+      }
+      mSpentUnits = LimitUnits();
+    }
     LogDispatch(decision);
     auto current = attempt{ endpoint, ReadBootClock(), 0, {} };
     const auto outcome = co_await SendOnce(current, decision.mExpected);
@@ -587,6 +588,32 @@
   co_await RefuseFor(aStatus, aReason, ReturnDelay(aExpected, left, mState.mRandom.Uniform01()));
 }
 
+auto exchange::LimitUnits() const -> double
+{
+  if (mOrganisation == nullptr || mOrganisation->mRate <= 0) {
+    return 0;
+  }
+  if (!mOrganisation->mCountsTokens) {
+    return 1;
+  }
+  const auto& work = mMetadata.mDeclaredWork;
+  return work ? static_cast<double>(work->mPromptTokens + work->mOutputTokens)
+              : mOrganisation->mDefaultUnits;
+}
+
+auto exchange::TimeToLimit(double aUnits) -> duration
+{
+  return LimitUnits() == 0
+           ? duration::zero()
+           : mState.mRateLimiter.Spend(mOrganisation->mName, aUnits, ReadBootClock());
+}
+
+auto exchange::RefuseOverLimit(duration aWait) -> boost::asio::awaitable<void>
+{
+  mRefusedUnits = LimitUnits();
+  co_await Refuse(429, "limit of the organisation", aWait);
+}
+
 auto exchange::RefuseFor(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
   -> boost::asio::awaitable<void>
 {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -145,6 +145,12 @@
   /// not known.
   auto Refuse(unsigned aStatus, std::string_view aReason, std::optional<duration> aExpected)
     -> boost::asio::awaitable<void>;
+  /// Units that the request takes from its organisation's limit; 0 if there is none.
+  [[nodiscard]] auto LimitUnits() const -> double;
+  /// Takes units from the organisation's limit. Returns zero on success, otherwise the time until
+  /// the limit allows a request again. No units only ask for that time.
+  [[nodiscard]] auto TimeToLimit(double aUnits) -> duration;
+  auto RefuseOverLimit(duration aWait) -> boost::asio::awaitable<void>;
   /// Refuses the request with exactly the given retry delay.
   auto RefuseFor(unsigned aStatus, std::string_view aReason, duration aRetryAfter)
     -> boost::asio::awaitable<void>;
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -229,6 +229,43 @@
   });
 }
 
+// Requests that waited for a slot kept the limit of their organisation, so that others were refused
+// though nothing ran.
+TEST_CASE("a request that waits takes nothing from its organisation's limit", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  const auto hold = [](const http_request& aRequest) -> scripted_endpoint::reaction {
+    return { "", scripted_endpoint::ending::Keep, SealedAnswer(aRequest, "held"), 200ms };
+  };
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", hold);
+  auto listed = endpoint.Listed();
+  listed.mSlots = 1;
+  auto document = TestDocument();
+  for (auto& route : document.mRoutes) {
+    route.mPriority = route.mName == "once" ? 1 : 0;
+  }
+  document.mOrganisations[0].mRate = 1;
+  document.mOrganisations[0].mBurst = 900;
+  document.mOrganisations[0].mCountsTokens = true;
+  fixture.Publish(std::move(document), { std::move(listed) });
+  fixture.Run([&]() -> awaitable<void> {
+    auto running = std::optional<test_caller::answer>();
+    auto waiting = std::optional<test_caller::answer>();
+    auto other = std::optional<test_caller::answer>();
+    StartAsk(fixture, RequestText("/once/x", "Tokens: 1,1\r\n", "running"), running);
+    co_await Pause(20ms);
+    StartAsk(fixture, RequestText("/once/x", "Tokens: 900,30\r\n", "waiting"), waiting);
+    co_await Pause(20ms);
+    StartAsk(
+      fixture, RequestText("/once/x", "Tokens: 1,1\r\nDeadline-Ms: 5000\r\n", "other"), other);
+    co_await Pause(20ms);
+    CHECK(!other);
+    co_await Pause(700ms);
+    REQUIRE(other);
+    CHECK(other->mStatus == 200);
+  });
+}
+
 TEST_CASE("a request whose framing would allow request smuggling is rejected", "[entry_gateway]")
 {
   auto fixture = gateway_fixture();
