Keep the retry budgets of services when a document is adopted

Endpoints saw more retries than the budget allows while configurations came in series: adopting a document replaced all budgets by new ones, which knew nothing of the retries of the last 10 s.

Budgets of services that are still there are kept and only get their limits again; those of services that are gone are released.

--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace bronzering {
@@ -74,6 +75,8 @@
   /// Applies the deferred changes of items that are due, and calls itself when the next one is.
   auto ApplyDeferredChanges() -> void;
   auto AdoptDocument() -> void;
+  /// Keeps the budgets of services that are still there, with the retries that they have counted.
+  auto AdoptRetryBudgets(const std::vector<service_spec>& aServices) -> void;
   auto AdoptEndpoints() -> void;
   /// Logs that items of the source were ignored because the copy has later ones.
   auto LogOutdatedItems(source_position aPosition,
@@ -305,10 +308,7 @@
   auto table = std::make_shared<const route_table>(std::move(*document));
   mShared.mEndpoints.Configure(table->Document().mServices);
   mShared.mRateLimiter.Configure(table->Document().mOrganisations, now);
-  mShared.mRetryBudgets.clear();
-  for (const auto& service : table->Document().mServices) {
-    mShared.mRetryBudgets[service.mName].Configure(mShared.mSettings.mRetryLimits);
-  }
+  AdoptRetryBudgets(table->Document().mServices);
   mShared.mRoutes = table;
   mShared.mFirstDocumentAdopted.cancel();
   mShared.mDispatchWaiter.Wake();
@@ -324,6 +324,19 @@
                      now);
 }
 
+auto entry_gateway::state::AdoptRetryBudgets(const std::vector<service_spec>& aServices) -> void
+{
+  auto& budgets = mShared.mRetryBudgets;
+  std::erase_if(budgets, [&aServices](const auto& aBudget) {
+    return std::none_of(aServices.begin(), aServices.end(), [&](const service_spec& aService) {
+      return aService.mName == aBudget.first;
+    });
+  });
+  for (const auto& service : aServices) {
+    budgets[service.mName].Configure(mShared.mSettings.mRetryLimits);
+  }
+}
+
 auto entry_gateway::state::AdoptEndpoints() -> void
 {
   const auto now = ReadBootClock();
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -145,6 +145,36 @@
 }
 
 // The gateway kept and parsed again all bytes of a chunk header until the body's timeout.
+// Each adopted configuration renewed the retry budgets, so a series of them lifted the limit.
+TEST_CASE("a new document does not renew the retry budgets", "[entry_gateway]")
+{
+  constexpr auto kRequests = 40U;
+  auto fixture = gateway_fixture();
+  const auto fail = [](const http_request& aRequest) {
+    const auto id = aRequest["Request-Id"];
+    return scripted_endpoint::reaction{ "HTTP/1.1 500 Error\r\nRequest-Id: " +
+                                        std::string(id.data(), id.size()) +
+                                        "\r\nContent-Length: 0\r\n\r\n" };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", fail);
+  auto second = scripted_endpoint(fixture.Context(), "e2", fail);
+  const auto endpoints = std::vector{ first.Listed(), second.Listed() };
+  fixture.Run([&]() -> awaitable<void> {
+    for (auto version = 1U; version <= 3; ++version) {
+      fixture.Publish(TestDocument(version), endpoints);
+      for (auto request = 0U; request < kRequests; ++request) {
+        co_await fixture.Ask(
+          RequestText("/again/x", {}, "r" + std::to_string(kRequests * version + request)));
+      }
+    }
+  });
+  const auto arrivals = first.Requests().size() + second.Requests().size();
+  const auto limits = retry_limits();
+  const auto allowed = limits.mExtraRetries + limits.mRatio * 3 * kRequests;
+  CHECK(static_cast<double>(arrivals) <= 3 * kRequests + allowed);
+  CHECK(arrivals > 3 * kRequests);
+}
+
 TEST_CASE("a caller that sends a chunk header without end is rejected before the timeout",
           "[entry_gateway]")
 {
