Leave evacuated zones alone and limit what cold endpoints get

An evacuated zone closes its endpoints for every choice and estimate of endpoint_table. Both are decoded from the items and the document; without them nothing changes.

--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -3,6 +3,7 @@
 #include <bronzering/base/ids.h>
 #include <bronzering/base/time.h>
 #include <bronzering/dispatch/answer_times.h>
+#include <bronzering/dispatch/cold_endpoint_limiter.h>
 #include <bronzering/dispatch/endpoint_preference.h>
 #include <bronzering/dispatch/endpoint_rate_limiter.h>
 #include <bronzering/dispatch/routing_document.h>
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -76,8 +78,8 @@
 /// Load balancer over the endpoints of all services. Combines the platform's list, the outstanding
 /// work of all entries, measured speeds, recent failures and the rate limits that endpoints name,
 /// and chooses the endpoint with the lowest expected time to the first event, among similar ones by
-/// an endpoint_preference. Not thread-safe:
-/// owned by the control thread.
+/// an endpoint_preference. Nothing is sent to endpoints of an evacuated availability zone, and only
+/// little to a cold endpoint. Not thread-safe: owned by the control thread.
 class endpoint_table
 {
 public:
@@ -99,6 +101,16 @@
   /// Replaces the list of endpoints. Load, speed and failures of endpoints that did not restart are
   /// kept.
   auto Apply(std::vector<listed_endpoint> aEndpoints, time_point aNow) -> void;
+  /// Replaces the availability zones whose endpoints are not chosen. Endpoints of a zone that is no
+  /// longer in the list count as cold for the cold time of their service: they may have become cold
+  /// meanwhile, and what they last published may not tell it yet.
+  auto SetEvacuatedZones(std::set<std::string> aZones, time_point aNow) -> void;
+  [[nodiscard]] auto EvacuatedZones() const -> const std::set<std::string>&
+  {
+    return mEvacuatedZones;
+  }
+  /// Replaces the entries that share the endpoints. Precondition: this entry is one of them.
+  auto SetMembers(const std::vector<entry_demand>& aMembers, time_point aNow) -> void;
 
   /// Returns the best endpoint of a service that is not draining, not in aExcluded, has the
   /// capacity that aRequirement asks for, and is expected to answer within aAllowed; empty if there
@@ -165,11 +177,13 @@
   [[nodiscard]] auto OwnSpeeds() const -> std::vector<endpoint_speed>;
 
   [[nodiscard]] auto RateLimits() -> endpoint_rate_limiter& { return mRateLimits; }
+  [[nodiscard]] auto ColdLimits() -> cold_endpoint_limiter& { return mColdLimits; }
   /// Number of endpoints of a service whose rate limit leaves this entry no urgent request now.
   [[nodiscard]] auto RateLimitedCount(std::string_view aService, time_point aNow) const
     -> std::size_t;
   /// Time until some endpoint of the service takes a request of this entry again, as far as its
-  /// rate limit and the pause that it asked for tell; zero if one does now, or none will.
+  /// rate limit, the limit of a cold endpoint and the pause that it asked for tell; zero if one
+  /// does now, or none will.
   [[nodiscard]] auto TimeToAdmission(std::string_view aService,
                                      slot_requirement aRequirement,
                                      time_point aNow) const -> duration;
@@ -192,6 +206,10 @@
     bool mHasAnsweredLeaving = false;
     /// Until when it has asked this entry to send it nothing.
     time_point mPausedUntil;
+    /// Whether its availability zone is evacuated.
+    bool mIsEvacuated = false;
+    /// Until when it is cold.
+    time_point mColdUntil;
     /// What this entry's preference adds to the expected latency when endpoints are compared.
     duration mHandicap{};
   };
@@ -208,11 +226,21 @@
     time_point mFirstEvent;
     time_point mLastEvent;
   };
-  /// Whether the endpoint is shutting down, according to the list or to its own answers.
-  [[nodiscard]] static auto IsLeaving(const endpoint_state& aEndpoint) -> bool
+  /// Whether nothing new is sent to the endpoint: it is shutting down, according to the list or to
+  /// its own answers, or its availability zone is evacuated.
+  [[nodiscard]] static auto IsClosed(const endpoint_state& aEndpoint) -> bool
   {
-    return aEndpoint.mListed.mIsLeaving || aEndpoint.mHasAnsweredLeaving;
+    return aEndpoint.mListed.mIsLeaving || aEndpoint.mHasAnsweredLeaving || aEndpoint.mIsEvacuated;
   }
+  /// Tells the limiter that the endpoint is cold, if it is and its service limits that.
+  auto LimitIfCold(const endpoint_state& aEndpoint, time_point aNow) -> void;
+  /// Time until this entry may send a request to the endpoint, by the rate limit that it names and
+  /// the limit for cold endpoints; empty if it has no share.
+  [[nodiscard]] auto TimeToAdmission(const endpoint_state& aEndpoint,
+                                     slot_requirement aRequirement,
+                                     time_point aNow) const -> std::optional<duration>;
+  /// Requests per second that both limits allow this entry to send to the endpoint.
+  [[nodiscard]] auto OwnRate(const endpoint_state& aEndpoint, time_point aNow) const -> double;
   auto AddToPeerTotals(const std::vector<endpoint_load>& aLoads) -> void;
   auto SubtractFromPeerTotals(const std::vector<endpoint_load>& aLoads) -> void;
   /// Outstanding work of this entry and its peers.
@@ -254,6 +282,8 @@
 
   endpoint_preference mPreference;
   endpoint_rate_limiter mRateLimits;
+  cold_endpoint_limiter mColdLimits;
+  std::set<std::string> mEvacuatedZones;
   std::map<std::string, service_spec, std::less<>> mServices;
   std::map<std::string, endpoint_state, std::less<>> mEndpoints;
   /// Moving average of the time for which a request occupies a slot, by service.
--- a/packages/dispatch/include/bronzering/dispatch/routing_document.h
+++ b/packages/dispatch/include/bronzering/dispatch/routing_document.h
@@ -2,6 +2,7 @@
 
 #include <bronzering/base/name_table.h>
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/source_position.h>
 
 #include <compare>
 #include <cstdint>
@@ -69,6 +70,10 @@
   bool mIsModel = false;
   /// Number of tokens in one event of a stream.
   std::uint32_t mTokensPerEvent = 1;
+  /// Requests per second that a cold endpoint takes from all entries in total; 0 means no limit.
+  double mColdRate = 0;
+  /// How long an endpoint stays cold when it has become cold.
+  duration mColdTime{};
 };
 
 /// An organisation with its API keys and its rate limit, which applies to all entries in total.
@@ -132,6 +137,10 @@
   std::string mAvailabilityZone;
   std::uint32_t mSlots = 1;
   bool mIsLeaving = false;
+  /// How much longer the endpoint was cold when it wrote this entry, at mWritten. A cold endpoint
+  /// is slow and takes only a few requests per second.
+  duration mColdLeft{};
+  source_position mWritten;
 };
 
 } // namespace bronzering
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -23,6 +23,9 @@
 constexpr auto kFirstEventBase = duration(30'000);
 /// Expected round-trip cost of an endpoint in another availability zone.
 constexpr auto kCrossZoneDelay = duration(10'000);
+/// What is added to the expected latency of a cold endpoint when endpoints are compared. It is
+/// slower than measured by an unknown factor, so an idle warm endpoint is preferred.
+constexpr auto kColdHandicap = duration(50'000);
 
 /// Longest expected wait in an endpoint's own queue: what digests between availability zones take.
 /// Without it a slot would stay empty until the entries that hold requests learn that it is free. A
@@ -87,7 +90,8 @@
 
 endpoint_table::endpoint_table(std::string aAvailabilityZone, std::string aSelf)
   : mPreference(aSelf, std::move(aAvailabilityZone))
-  , mRateLimits(std::move(aSelf))
+  , mRateLimits(aSelf)
+  , mColdLimits(std::move(aSelf))
 {
 }
 
@@ -113,6 +117,12 @@
       state = std::move(found->second);
     } else {
       state.mAvoidUntil = aNow;
+      state.mColdUntil = aNow;
+    }
+    // An entry that is read again says nothing new.
+    const auto isNews = listed.mWritten != state.mListed.mWritten;
+    if (listed.mColdLeft > duration::zero() && isNews) {
+      state.mColdUntil = aNow + listed.mColdLeft;
     }
     state.mIncarnationKey = HashEndpointIncarnation(listed.mId, listed.mIncarnation);
     state.mOwnLoad.mKey = HashEndpointId(listed.mId);
@@ -120,8 +130,10 @@
     const auto* service = ServiceOf(listed.mService);
     state.mHandicap = mPreference.Handicap(
       listed.mId, listed.mAvailabilityZone, service != nullptr && service->mIsModel);
+    state.mIsEvacuated = mEvacuatedZones.contains(listed.mAvailabilityZone);
     auto id = listed.mId;
     state.mListed = std::move(listed);
+    LimitIfCold(state, aNow);
     mEndpoints.emplace(std::move(id), std::move(state));
   }
   mByService.clear();
@@ -130,6 +142,51 @@
   }
 }
 
+auto endpoint_table::SetEvacuatedZones(std::set<std::string> aZones, time_point aNow) -> void
+{
+  mEvacuatedZones = std::move(aZones);
+  for (auto& [id, endpoint] : mEndpoints) {
+    const auto isEvacuated = mEvacuatedZones.contains(endpoint.mListed.mAvailabilityZone);
+    const auto wasEvacuated = std::exchange(endpoint.mIsEvacuated, isEvacuated);
+    const auto* service = ServiceOf(endpoint.mListed.mService);
+    if (wasEvacuated && !isEvacuated && service != nullptr) {
+      endpoint.mColdUntil = std::max(endpoint.mColdUntil, aNow + service->mColdTime);
+      LimitIfCold(endpoint, aNow);
+    }
+  }
+}
+
+auto endpoint_table::SetMembers(const std::vector<entry_demand>& aMembers, time_point aNow) -> void
+{
+  mRateLimits.SetMembers(aMembers, aNow);
+  mColdLimits.SetMembers(aMembers, aNow);
+}
+
+auto endpoint_table::LimitIfCold(const endpoint_state& aEndpoint, time_point aNow) -> void
+{
+  const auto* service = ServiceOf(aEndpoint.mListed.mService);
+  if (service != nullptr && service->mColdRate > 0 && aEndpoint.mColdUntil > aNow) {
+    mColdLimits.SetCold(aEndpoint.mIncarnationKey, service->mColdRate, aEndpoint.mColdUntil, aNow);
+  }
+}
+
+auto endpoint_table::TimeToAdmission(const endpoint_state& aEndpoint,
+                                     slot_requirement aRequirement,
+                                     time_point aNow) const -> std::optional<duration>
+{
+  const auto limited =
+    mRateLimits.TimeToAdmission(aEndpoint.mIncarnationKey, UsableShare(aRequirement), aNow);
+  const auto cold = mColdLimits.TimeToAdmission(aEndpoint.mIncarnationKey, aNow);
+  return limited && cold ? std::optional(std::max(*limited, *cold)) : std::nullopt;
+}
+
+auto endpoint_table::OwnRate(const endpoint_state& aEndpoint, time_point aNow) const -> double
+{
+  constexpr auto kUnlimited = std::numeric_limits<double>::max();
+  return std::min(mRateLimits.OwnRate(aEndpoint.mIncarnationKey).value_or(kUnlimited),
+                  mColdLimits.OwnRate(aEndpoint.mIncarnationKey, aNow).value_or(kUnlimited));
+}
+
 template<class Visitor>
 auto endpoint_table::ForEachPlace(const service_spec& aService,
                                   const std::vector<std::string>& aExcluded,
@@ -143,7 +200,8 @@
   }
   const auto& endpoints = listedEndpoints->second;
   const auto isCandidate = [&](const endpoint_state& aEndpoint) {
-    return !IsLeaving(aEndpoint) && aEndpoint.mPausedUntil <= aNow &&
+    return !IsClosed(aEndpoint) && aEndpoint.mPausedUntil <= aNow &&
+           mColdLimits.TimeToAdmission(aEndpoint.mIncarnationKey, aNow) &&
            std::find(aExcluded.begin(), aExcluded.end(), aEndpoint.mListed.mId) == aExcluded.end();
   };
   // A failing endpoint tends to have free slots. As long as there is a candidate that is not
@@ -162,8 +220,7 @@
     const auto hasSlot = total.mRequests < endpoint->mListed.mSlots ||
                          (aRequirement == slot_requirement::FreeSlotOrQueue &&
                           SlotWait(*endpoint, aService, total) <= kMaxSlotWait);
-    const auto admission =
-      mRateLimits.TimeToAdmission(endpoint->mIncarnationKey, UsableShare(aRequirement), aNow);
+    const auto admission = TimeToAdmission(*endpoint, aRequirement, aNow);
     if (hasConnection && hasSlot && admission == duration::zero() && !aVisitor(*endpoint, total)) {
       return;
     }
@@ -189,7 +246,9 @@
                aNow,
                [&](const endpoint_state& aEndpoint, const endpoint_load& aTotal) {
                  const auto expected = ExpectedTimes(aEndpoint, *service, aTotal, aWork);
-                 const auto cost = expected.mFirstEvent + aEndpoint.mHandicap;
+                 const auto isCold = mColdLimits.IsCold(aEndpoint.mIncarnationKey, aNow);
+                 const auto cost = expected.mFirstEvent + aEndpoint.mHandicap +
+                                   (isCold ? kColdHandicap : duration::zero());
                  if (FitsInto(expected, aAllowed) && (!best || cost < leastCost)) {
                    leastCost = cost;
                    const auto& listed = aEndpoint.mListed;
@@ -224,7 +283,7 @@
     return shortest;
   }
   for (const auto* endpoint : endpoints->second) {
-    if (IsLeaving(*endpoint)) {
+    if (IsClosed(*endpoint)) {
       continue;
     }
     const auto times = ExpectedTimes(*endpoint, *service, {}, aWork);
@@ -252,17 +311,16 @@
   auto closedRate = 0.0;
   for (const auto* endpoint : endpoints->second) {
     const auto& listed = endpoint->mListed;
-    if (IsLeaving(*endpoint) ||
+    if (IsClosed(*endpoint) ||
         std::find(aExcluded.begin(), aExcluded.end(), listed.mId) != aExcluded.end()) {
       continue;
     }
     const auto occupied = slotTime != mSlotTimes.end()
                             ? slotTime->second
                             : ExpectedTimes(*endpoint, *service, {}, aWork).mEnd;
-    const auto limit = mRateLimits.OwnRate(endpoint->mIncarnationKey);
     const auto rate =
       std::min(share * listed.mSlots / ToSeconds(std::max<duration>(occupied, duration(1))),
-               limit.value_or(std::numeric_limits<double>::max()));
+               OwnRate(*endpoint, aNow));
     const auto isOpen = endpoint->mAvoidUntil <= aNow && endpoint->mPausedUntil <= aNow;
     (isOpen ? openRate : closedRate) += rate;
   }
@@ -293,6 +351,7 @@
                                             aNow,
                                             aNow });
   mRateLimits.OnSent(endpoint.mIncarnationKey, aNow);
+  mColdLimits.OnSent(endpoint.mIncarnationKey, aNow);
   ++endpoint.mOwnLoad.mRequests;
   endpoint.mOwnLoad.mPromptTokens += aWork.mPromptTokens;
   endpoint.mOwnLoad.mOutputTokens += aWork.mOutputTokens;
@@ -525,11 +584,10 @@
 {
   auto earliest = std::optional<duration>();
   for (const auto& [id, endpoint] : mEndpoints) {
-    if (endpoint.mListed.mService != aService || IsLeaving(endpoint)) {
+    if (endpoint.mListed.mService != aService || IsClosed(endpoint)) {
       continue;
     }
-    const auto time =
-      mRateLimits.TimeToAdmission(endpoint.mIncarnationKey, UsableShare(aRequirement), aNow);
+    const auto time = TimeToAdmission(endpoint, aRequirement, aNow);
     if (time) {
       const auto wait = std::max<duration>(*time, endpoint.mPausedUntil - aNow);
       earliest = std::min(earliest.value_or(wait), wait);
--- a/packages/dispatch/tests/endpoint_table_test.cpp
+++ b/packages/dispatch/tests/endpoint_table_test.cpp
@@ -341,3 +341,75 @@
   table.Apply({ Listed("one", 2), Listed("two") }, kStart + 10s);
   CHECK(table.RateLimitedCount("model", kStart + 10s) == 0);
 }
+
+TEST_CASE("nothing is sent to an evacuated zone, and no place is expected there",
+          "[endpoint_table]")
+{
+  auto table = Table();
+  auto other = Listed("other");
+  other.mAvailabilityZone = "b";
+  table.Apply({ Listed("one"), Listed("two"), other }, kStart);
+  table.SetEvacuatedZones({ "a" }, kStart);
+  CHECK(ChosenId(table, kStart) == "other");
+  CHECK(ChosenId(table, kStart, { "other" }) == "none");
+  CHECK(table.PlaceRate("model", { 100, 100 }, { "other" }, kStart) == 0);
+
+  // An endpoint that starts in the zone is not used either, and with the last zone none is left.
+  table.Apply({ Listed("one", 2), Listed("new") }, kStart);
+  CHECK(ChosenId(table, kStart) == "none");
+  CHECK(!table.HasPlace("model", slot_requirement::FreeSlotOrQueue, kStart));
+  CHECK(!table.ShortestTimes("model", { 100, 100 }));
+
+  table.SetEvacuatedZones({}, kStart);
+  CHECK(ChosenId(table, kStart) != "none");
+}
+
+namespace {
+
+/// A table whose service takes two requests a second at a cold endpoint, and stays cold for 3 s.
+auto TableWithColdLimit() -> endpoint_table
+{
+  auto table = endpoint_table("a", "10.0.0.1");
+  auto service = service_spec{ "model", 100, true, 5 };
+  service.mColdRate = 2;
+  service.mColdTime = 3s;
+  table.Configure({ service });
+  table.SetMembers({ { "10.0.0.1", 1 } }, kStart - 2s);
+  table.SetMembers({ { "10.0.0.1", 1 } }, kStart);
+  return table;
+}
+
+} // namespace
+
+TEST_CASE("an endpoint that says it is cold gets few requests until that time is over",
+          "[endpoint_table]")
+{
+  auto table = TableWithColdLimit();
+  auto cold = Listed("one");
+  cold.mColdLeft = 3s;
+  cold.mWritten = { 0, 7 };
+  table.Apply({ cold }, kStart);
+  CHECK(ChosenId(table, kStart) == "none");
+  CHECK(ChosenId(table, kStart + 500ms) == "one");
+  table.Begin({ 1 }, "one", { 100, 100 }, kStart + 500ms);
+  CHECK(ChosenId(table, kStart + 600ms) == "none");
+
+  // The same entry of the list, applied again, does not extend the time.
+  table.Apply({ cold }, kStart + 2900ms);
+  CHECK(ChosenId(table, kStart + 3s) == "one");
+  table.Begin({ 2 }, "one", { 100, 100 }, kStart + 3s);
+  table.End({ 1 }, attempt_result::Answered, kStart + 3s);
+  CHECK(ChosenId(table, kStart + 3001ms) == "one");
+}
+
+TEST_CASE("the endpoints of a zone that returns count as cold, as their entries may be older",
+          "[endpoint_table]")
+{
+  auto table = TableWithColdLimit();
+  table.Apply({ Listed("one") }, kStart);
+  CHECK(ChosenId(table, kStart) == "one");
+  table.SetEvacuatedZones({ "a" }, kStart);
+  table.SetEvacuatedZones({}, kStart + 10s);
+  CHECK(ChosenId(table, kStart + 10s) == "none");
+  CHECK(ChosenId(table, kStart + 13s) == "one");
+}
--- a/packages/gateway/include/bronzering/gateway/entry_gateway.h
+++ b/packages/gateway/include/bronzering/gateway/entry_gateway.h
@@ -14,6 +14,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -37,6 +39,8 @@
     mEndpoints;
   /// Versions that survive a restore of the platform's source; may be left out if it never is.
   owner_version_reader mVersion = {};
+  /// The availability zones that the operator has evacuated; may be left out if none ever is.
+  std::function<std::set<std::string>(const published_items&)> mEvacuatedZones = {};
 };
 
 /// An HTTP gateway that forwards requests directly to endpoints. It routes requests, applies
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -78,6 +78,7 @@
   /// Keeps the budgets of services that are still there, with the retries that they have counted.
   auto AdoptRetryBudgets(const std::vector<service_spec>& aServices) -> void;
   auto AdoptEndpoints() -> void;
+  auto AdoptEvacuatedZones(time_point aNow) -> void;
   /// Logs that items of the source were ignored because the copy has later ones.
   auto LogOutdatedItems(source_position aPosition,
                         std::string_view aWhat,
@@ -170,9 +171,12 @@
     mShared.mConnections.Prune(endpoints, now);
     mShared.mQuarantine.RemoveExpired(now);
     mShared.mEndpoints.RateLimits().RemoveExpired(now);
+    mShared.mEndpoints.ColdLimits().RemoveExpired(now);
     auto& metrics = mShared.mMetrics;
     metrics.Gauge("bronzering_rate_limited_endpoints")
       .Set(static_cast<std::int64_t>(mShared.mEndpoints.RateLimits().LimitedCount()));
+    metrics.Gauge("bronzering_cold_endpoints")
+      .Set(static_cast<std::int64_t>(mShared.mEndpoints.ColdLimits().ColdCount(now)));
     metrics.Gauge("bronzering_suspected_prompt_parts")
       .Set(static_cast<std::int64_t>(mShared.mQuarantine.SuspectCount(now)));
     metrics.Gauge("bronzering_caller_connections").Set(static_cast<std::int64_t>(mSessions.size()));
@@ -337,6 +341,39 @@
   }
 }
 
+auto entry_gateway::state::AdoptEvacuatedZones(time_point aNow) -> void
+{
+  if (!mDecoder.mEvacuatedZones) {
+    return;
+  }
+  auto zones = mDecoder.mEvacuatedZones(mShared.mItems);
+  const auto& current = mShared.mEndpoints.EvacuatedZones();
+  if (zones == current) {
+    return;
+  }
+  const auto log = [this, aNow](std::string_view aEvent, const std::string& aZone) {
+    mShared.mLog.Write(log_priority::Notable,
+                       aEvent,
+                       { { "zone", aZone },
+                         { "revision", mShared.mItems.Position().mRevision },
+                         { "history", mShared.mItems.Position().mHistory },
+                         { "source_reachable", mShared.mItems.IsSourceReachable() } },
+                       aNow);
+  };
+  for (const auto& zone : zones) {
+    if (!current.contains(zone)) {
+      log("zone_evacuated", zone);
+    }
+  }
+  for (const auto& zone : current) {
+    if (!zones.contains(zone)) {
+      log("zone_returned", zone);
+    }
+  }
+  mShared.mMetrics.Gauge("bronzering_evacuated_zones").Set(static_cast<std::int64_t>(zones.size()));
+  mShared.mEndpoints.SetEvacuatedZones(std::move(zones), aNow);
+}
+
 auto entry_gateway::state::AdoptEndpoints() -> void
 {
   const auto now = ReadBootClock();
@@ -355,9 +392,14 @@
   mRejectedItems = std::move(rejectedNow);
 
   // Log the endpoints whose state has changed for this entry.
-  auto previous = std::map<std::string, bool>();
+  struct logged_state
+  {
+    bool mIsLeaving = false;
+    source_position mWritten;
+  };
+  auto previous = std::map<std::string, logged_state>();
   for (const auto& endpoint : mShared.mEndpoints.Endpoints()) {
-    previous.emplace(endpoint.mId, endpoint.mIsLeaving);
+    previous.emplace(endpoint.mId, logged_state{ endpoint.mIsLeaving, endpoint.mWritten });
   }
   const auto log = [this, now](const std::string& aId, std::string_view aState) {
     mShared.mLog.Write(log_priority::Notable,
@@ -370,15 +412,20 @@
   };
   for (const auto& endpoint : endpoints) {
     const auto found = previous.find(endpoint.mId);
-    if (found == previous.end() || found->second != endpoint.mIsLeaving) {
+    if (found == previous.end() || found->second.mIsLeaving != endpoint.mIsLeaving) {
       log(endpoint.mId, endpoint.mIsLeaving ? "leaving" : "ready");
     }
+    const auto isNews = found == previous.end() || found->second.mWritten != endpoint.mWritten;
+    if (isNews && endpoint.mColdLeft > duration::zero()) {
+      log(endpoint.mId, "cold");
+    }
     previous.erase(endpoint.mId);
   }
-  for (const auto& [id, isLeaving] : previous) {
+  for (const auto& [id, last] : previous) {
     log(id, "gone");
   }
   mShared.mEndpoints.Apply(std::move(endpoints), now);
+  AdoptEvacuatedZones(now);
   mShared.mDispatchWaiter.Wake();
 }
 
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -97,7 +97,7 @@
     ReportPeerChanges(now);
     auto members = mState.mPeers.Demands();
     members.push_back({ mState.mSettings.mAddress, mState.mDemand.At(now) });
-    mState.mEndpoints.RateLimits().SetMembers(std::move(members), now);
+    mState.mEndpoints.SetMembers(members, now);
     SendDigests();
     timer.expires_after(mExchange.Interval());
     co_await timer.async_wait(kUseTuple);
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -164,9 +164,10 @@
 {
 }
 
-auto test_caller::Connect(std::uint16_t aPort) -> boost::asio::awaitable<void>
+auto test_caller::Connect(std::uint16_t aPort, const std::string& aAddress)
+  -> boost::asio::awaitable<void>
 {
-  const auto endpoint = tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), aPort);
+  const auto endpoint = tcp::endpoint(boost::asio::ip::make_address(aAddress), aPort);
   co_await mSocket.async_connect(endpoint, kUseTuple);
 }
 
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -75,7 +75,8 @@
   };
 
   explicit test_caller(boost::asio::io_context& aContext);
-  auto Connect(std::uint16_t aPort) -> boost::asio::awaitable<void>;
+  auto Connect(std::uint16_t aPort, const std::string& aAddress = "127.0.0.1")
+    -> boost::asio::awaitable<void>;
   auto Send(std::string aText) -> boost::asio::awaitable<void>;
   /// Reads the next response; empty when it is incomplete.
   auto Read() -> boost::asio::awaitable<std::optional<answer>>;
