Ask peers only for the items that have changed

They took all items from a peer for each change; with a long configuration that does not fit through a link of 10 Mbit/s within the timeout of 0.5 s, and seven fetches in a row were given up.

An entry now names its position, and the peer leaves out the values that it has. In the test, an update of a 500 kB document's copy takes under 1 kB.

--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -30,6 +30,8 @@
 /// within it.
 constexpr auto kPeerFetchDelay = duration(std::chrono::milliseconds(300));
 constexpr auto kPeerFetchTimeout = duration(std::chrono::milliseconds(500));
+/// The same for a fetch of all items. A megabyte takes 0.8 s on a link of 10 Mbit/s.
+constexpr auto kPeerFullFetchTimeout = duration(std::chrono::milliseconds(2'000));
 constexpr auto kMaxSnapshotBytes = std::size_t{ 64 } * 1024 * 1024;
 /// Idle connections are closed this long after the stop request, when the load balancer has had
 /// time to notice that the entry is not ready.
@@ -96,6 +98,8 @@
   http_get_server mOperatorServer;
   std::set<std::shared_ptr<caller_session>> mSessions;
   bool mIsFetching = false;
+  /// A peer's answer with only what has changed could not be used.
+  bool mNeedsAllItems = false;
   std::set<std::string> mRejectedItems;
 };
 
@@ -268,9 +272,18 @@
     auto address = *peer + ":" + std::to_string(mShared.mSettings.mOperatorPort);
     auto client =
       http_get_client(mShared.mContext.get_executor(), std::move(address), kMaxSnapshotBytes);
-    auto target = std::string("/items");
-    const auto answer = co_await client.Get(std::move(target), kPeerFetchTimeout);
-    auto snapshot = answer && answer->mStatus == 200 ? DecodeSnapshot(answer->mBody) : std::nullopt;
+    // All items may take longer than the bounds allow on a slow link, so an entry that has items
+    // asks only for what has changed since. A peer with another configuration may have taken
+    // another way to its position.
+    const auto asksForAll = std::exchange(mNeedsAllItems, false) ||
+                            mShared.mItems.Items().empty() ||
+                            mShared.mConfigurationLag.IsLate(ReadBootClock());
+    auto target = ItemsTarget(asksForAll ? std::nullopt : std::optional(mShared.mItems.Position()));
+    const auto answer = co_await client.Get(std::move(target),
+                                            asksForAll ? kPeerFullFetchTimeout : kPeerFetchTimeout);
+    auto snapshot = answer && answer->mStatus == 200 ? DecodeSnapshot(answer->mBody, mShared.mItems)
+                                                     : std::nullopt;
+    mNeedsAllItems = answer && !snapshot;
     const auto now = ReadBootClock();
     const auto fetched = snapshot ? snapshot->Position() : source_position();
     mShared.mConfigurationLag.Restart(now);
@@ -281,6 +294,8 @@
                        { { "peer", *peer },
                          { "revision", fetched.mRevision },
                          { "history", fetched.mHistory },
+                         { "all", asksForAll },
+                         { "bytes", answer ? answer->mBody.size() : 0 },
                          { "applied", isApplied } },
                        now);
     if (isApplied) {
@@ -458,8 +473,10 @@
   if (aTarget == "/metrics") {
     return { 200, "text/plain; version=0.0.4", mShared.mMetrics.Render() };
   }
-  if (aTarget == "/items" && mShared.mRoutes) {
-    return { 200, "application/octet-stream", EncodeSnapshot(mShared.mItems.Snapshot()) };
+  if (const auto items = ParseItemsTarget(aTarget); items && mShared.mRoutes) {
+    return { 200,
+             "application/octet-stream",
+             EncodeSnapshot(mShared.mItems.Snapshot(), items->mKnown) };
   }
   return { 404, "text/plain", "not found\n" };
 }
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "peer_codec.h"
 
+#include "text_number.h"
+
 #include <peer_messages_generated.h>
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -24,6 +26,8 @@
 constexpr auto kRelayIdentifier = "BZRL";
 /// Largest datagram that carries several digests: what a path between zones takes in one piece.
 constexpr auto kMaxDatagramBytes = std::size_t{ 1'400 };
+/// Path under which an entry serves its items to peers.
+constexpr auto kItemsPath = std::string_view("/items");
 
 auto ToNumber(const std::string& aAddress) -> std::uint32_t
 {
@@ -257,13 +261,19 @@
   return message;
 }
 
-auto EncodeSnapshot(const published_snapshot& aSnapshot) -> std::string
+auto EncodeSnapshot(const published_snapshot& aSnapshot, std::optional<source_position> aKnown)
+  -> std::string
 {
+  // Revisions can only be compared within one history.
+  const auto isKnown = [&aKnown](const published_item& aItem) {
+    return aKnown && aItem.mHistory == aKnown->mHistory && aItem.mRevision <= aKnown->mRevision;
+  };
   auto builder = flatbuffers::FlatBufferBuilder();
   auto items = std::vector<flatbuffers::Offset<peer::Item>>();
   for (const auto& item : aSnapshot.mItems) {
     const auto key = builder.CreateString(item.mKey);
-    const auto value = builder.CreateString(item.mValue);
+    const auto value = isKnown(item) ? flatbuffers::Offset<flatbuffers::String>()
+                                     : builder.CreateString(item.mValue);
     items.push_back(
       peer::CreateItem(builder, key, value, item.mRevision, item.mHistory, item.mIsExpired));
   }
@@ -272,25 +282,70 @@
   return Finished(builder);
 }
 
-auto DecodeSnapshot(std::string_view aBytes) -> std::optional<published_snapshot>
+auto DecodeSnapshot(std::string_view aBytes, const published_items& aHeld)
+  -> std::optional<published_snapshot>
 {
   const auto* message = Verified<peer::Snapshot>(aBytes);
   if (message == nullptr) {
     return std::nullopt;
   }
   auto snapshot = published_snapshot{ message->revision(), {}, message->history() };
-  if (message->items() != nullptr) {
-    for (const auto* item : *message->items()) {
-      if (item->key() != nullptr && item->value() != nullptr) {
-        snapshot.mItems.push_back({ item->key()->str(),
-                                    item->value()->str(),
-                                    item->revision(),
-                                    item->history(),
-                                    item->is_expired() });
+  if (message->items() == nullptr) {
+    return snapshot;
+  }
+  for (const auto* item : *message->items()) {
+    if (item->key() == nullptr) {
+      continue;
+    }
+    auto decoded = published_item{
+      item->key()->str(), {}, item->revision(), item->history(), item->is_expired()
+    };
+    if (item->value() != nullptr) {
+      decoded.mValue = item->value()->str();
+    } else {
+      const auto* held = aHeld.Find(decoded.mKey);
+      if (held == nullptr || held->Position() != decoded.Position()) {
+        return std::nullopt;
       }
+      decoded.mValue = held->mValue;
     }
+    snapshot.mItems.push_back(std::move(decoded));
   }
   return snapshot;
 }
 
+auto ItemsTarget(std::optional<source_position> aKnown) -> std::string
+{
+  auto target = std::string(kItemsPath);
+  if (aKnown) {
+    target += "/" + std::to_string(aKnown->mHistory) + "/" + std::to_string(aKnown->mRevision);
+  }
+  return target;
+}
+
+auto ParseItemsTarget(std::string_view aTarget) -> std::optional<items_request>
+{
+  if (aTarget == kItemsPath) {
+    return items_request();
+  }
+  if (!aTarget.starts_with(kItemsPath) || aTarget[kItemsPath.size()] != '/') {
+    return std::nullopt;
+  }
+  aTarget.remove_prefix(kItemsPath.size() + 1);
+  const auto slash = aTarget.find('/');
+  if (slash == std::string_view::npos) {
+    return std::nullopt;
+  }
+  auto known = source_position();
+  for (const auto& [text, number] : { std::pair(aTarget.substr(0, slash), &known.mHistory),
+                                      std::pair(aTarget.substr(slash + 1), &known.mRevision) }) {
+    const auto parsed = ParseUnsigned(text);
+    if (!parsed) {
+      return std::nullopt;
+    }
+    *number = *parsed;
+  }
+  return items_request{ known };
+}
+
 } // namespace bronzering
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -101,7 +101,7 @@
 {
   const auto snapshot =
     published_snapshot{ 12, { { "key", std::string("a\0b", 3), 11, 2, true } }, 3 };
-  const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot));
+  const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot), published_items());
   REQUIRE(decoded);
   CHECK(decoded->Position() == source_position{ 3, 12 });
   REQUIRE(decoded->mItems.size() == 1);
@@ -110,3 +110,38 @@
   CHECK(decoded->mItems[0].Position() == source_position{ 2, 11 });
   CHECK(decoded->mItems[0].mIsExpired);
 }
+
+// All items took longer than the timeout on a slow link, so an entry that was cut off from the
+// store went on sending to endpoints that were leaving.
+TEST_CASE("a peer that has items is sent only what has changed", "[peer_codec]")
+{
+  const auto large = std::string(500'000, 'x');
+  auto held = published_items();
+  held.ApplySnapshot({ 8, { { "document", large, 5, 2 }, { "gone", "", 6, 2 } }, 2 },
+                     item_origin::Peer,
+                     time_point(1h));
+  const auto snapshot =
+    published_snapshot{ 12, { { "document", large, 5, 2 }, { "worker", "leaving", 9, 2 } }, 2 };
+  const auto update = EncodeSnapshot(snapshot, held.Position());
+  CHECK(update.size() < 1'000);
+  const auto decoded = DecodeSnapshot(update, held);
+  REQUIRE(decoded);
+  REQUIRE(decoded->mItems.size() == 2);
+  CHECK(decoded->mItems[0].mValue == large);
+  CHECK(decoded->mItems[1].mValue == "leaving");
+
+  // Revisions of another history say nothing, and what is not held cannot be left out.
+  CHECK(EncodeSnapshot(snapshot, source_position{ 1, 8 }).size() > large.size());
+  CHECK(!DecodeSnapshot(update, published_items()));
+}
+
+TEST_CASE("a request for items names what its sender has", "[peer_codec]")
+{
+  CHECK(ItemsTarget({}) == "/items");
+  const auto target = ItemsTarget(source_position{ 3, 17 });
+  CHECK(ParseItemsTarget(target)->mKnown == source_position{ 3, 17 });
+  CHECK(!ParseItemsTarget("/items")->mKnown);
+  for (const auto* other : { "/metrics", "/items/", "/items/3", "/items/a/b", "/itemsx/1/2", "" }) {
+    CHECK(!ParseItemsTarget(other));
+  }
+}
