Check and compare routing documents in packages/dispatch

Operators learned that a route never matches, that a service does not exist or that limits contradict each other only from refused requests: the decoder rejects a document only for missing and mistyped fields.

CheckDocument returns findings with a severity and a place; whether a route can match is asked of route_table itself. CheckSuccessor reports a version that entries ignore, and CompareDocuments says what a new document changes. Keys are compared and counted, and never part of a text.

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -6,6 +6,8 @@
 #include <bronzering/dispatch/digest_exchange.h>
 #include <bronzering/dispatch/digest_relay.h>
 #include <bronzering/dispatch/dispatch_queue.h>
+#include <bronzering/dispatch/document_check.h>
+#include <bronzering/dispatch/document_difference.h>
 #include <bronzering/dispatch/endpoint_incarnation_key.h>
 #include <bronzering/dispatch/endpoint_preference.h>
 #include <bronzering/dispatch/endpoint_rate_limiter.h>
