Hold the limit of cold endpoints in partitions and under changing demand

Shares are equal and a quarter of the rate, members are remembered for 10 min, and an entry that was told of others but hears nobody owns nothing. Without a share an endpoint counts as a place for later, so that requests wait for the end of its cold time.

Also from the review: a fetch from a peer that was not there in time gets more time the next time, and a fetch for another reason does not delay the one for a late configuration. Retry budgets outlive a document that drops their service for a moment.

--- a/packages/dispatch/include/bronzering/dispatch/cold_endpoint_limiter.h
+++ b/packages/dispatch/include/bronzering/dispatch/cold_endpoint_limiter.h
@@ -17,39 +17,49 @@
 /// crashes.
 ///
 /// Each cold endpoint has a few owners among the entries, found by rendezvous hashing, so that the
-/// death or the start of an entry changes only its own part. An owner keeps a token bucket for its
-/// share of the rate, by the owners' demand. All other entries send nothing to the endpoint while
-/// it is cold. Entries may disagree about the members for as long as digests take; the bursts of
-/// kOwners buckets are small enough for that. An entry that has just started knows neither its
-/// peers nor what it has sent before, and owns nothing until it has settled.
+/// death or the start of an entry changes only its own part. Each owner keeps a token bucket for
+/// the rate divided by kOwners, however few members are known: an entry that starts in a network
+/// partition does not know the others. All other entries send nothing to the endpoint while it is
+/// cold.
+/// Entries may disagree about the members for as long as digests take; the bursts of kOwners
+/// buckets are small enough for that. Members that fall silent are remembered, because they may run
+/// on the other side of a network partition. An entry that has just started knows neither its peers
+/// nor what it has sent before, and owns nothing until it has settled.
 /// Not thread-safe: owned by the control thread.
 class cold_endpoint_limiter
 {
 public:
   /// Entries that send to one cold endpoint.
   static constexpr std::size_t kOwners = 4;
-  /// Time after the start in which an entry owns nothing. Its peers answer well within it.
+  /// Time after the first members were set in which an entry owns nothing. It is longer than the
+  /// longest interval between digests, so its peers have answered by then.
   static constexpr auto kSettlingTime = std::chrono::seconds(1);
   /// Requests that an owner may send at once.
   static constexpr auto kBurst = 1.0;
+  /// How long a member is remembered that is not in the list any more.
+  static constexpr auto kMemberMemory = std::chrono::minutes(10);
+  /// Lowest rate that is shared out, in requests per second.
+  static constexpr auto kMinRate = endpoint_rate_limiter::kMinRate;
 
   /// aSelf is the address of this entry.
   explicit cold_endpoint_limiter(std::string aSelf);
 
-  /// Replaces the entries that share the endpoints. Precondition: this entry is one of them.
-  auto SetMembers(std::vector<entry_demand> aMembers, time_point aNow) -> void;
+  /// Updates the entries that share the endpoints. Precondition: this entry is one of them.
+  auto SetMembers(const std::vector<entry_demand>& aMembers, time_point aNow) -> void;
   /// Records that the endpoint is cold until aUntil, and the requests per second that it tolerates
   /// from all entries. Precondition: aRate > 0.
   auto SetCold(endpoint_incarnation_key aEndpoint, double aRate, time_point aUntil, time_point aNow)
     -> void;
+  auto SetWarm(endpoint_incarnation_key aEndpoint) -> void { mCold.erase(aEndpoint); }
   auto RemoveExpired(time_point aNow) -> void;
 
   [[nodiscard]] auto IsCold(endpoint_incarnation_key aEndpoint, time_point aNow) const -> bool;
   /// Time until this entry may send a request to the endpoint: zero if it may now, also if the
-  /// endpoint is not cold; empty if it is cold and this entry is no owner.
+  /// endpoint is not cold; the rest of the cold time if it is no owner.
   [[nodiscard]] auto TimeToAdmission(endpoint_incarnation_key aEndpoint, time_point aNow) const
-    -> std::optional<duration>;
-  /// Requests per second that this entry may send to the endpoint; empty if it is not cold.
+    -> duration;
+  /// Requests per second that this entry may send to the endpoint, 0 if it is no owner; empty if
+  /// the endpoint is not cold.
   [[nodiscard]] auto OwnRate(endpoint_incarnation_key aEndpoint, time_point aNow) const
     -> std::optional<double>;
   /// Takes a request from this entry's share. Does nothing if the endpoint is not cold.
@@ -75,7 +85,8 @@
   static auto SetShare(cold_state& aState, double aShare, time_point aNow) -> void;
 
   std::string mSelf;
-  std::vector<entry_demand> mMembers;
+  /// The members, with the time at which they were last in the list.
+  std::map<std::string, time_point> mMembers;
   /// When the members were first set; empty before.
   std::optional<time_point> mStarted;
   bool mIsSettled = false;
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -109,8 +109,10 @@
   {
     return mEvacuatedZones;
   }
-  /// Replaces the entries that share the endpoints. Precondition: this entry is one of them.
-  auto SetMembers(const std::vector<entry_demand>& aMembers, time_point aNow) -> void;
+  /// Replaces the entries that share the endpoints. aIsIsolated says that there should be others,
+  /// but none was heard yet. Precondition: this entry is one of them.
+  auto SetMembers(const std::vector<entry_demand>& aMembers, time_point aNow, bool aIsIsolated)
+    -> void;
 
   /// Returns the best endpoint of a service that is not draining, not in aExcluded, has the
   /// capacity that aRequirement asks for, and is expected to answer within aAllowed; empty if there
@@ -208,8 +210,9 @@
     time_point mPausedUntil;
     /// Whether its availability zone is evacuated.
     bool mIsEvacuated = false;
-    /// Until when it is cold.
-    time_point mColdUntil;
+    /// Until when it is cold by its own statement, and because its zone has returned.
+    time_point mStatedColdUntil;
+    time_point mReturnColdUntil;
     /// What this entry's preference adds to the expected latency when endpoints are compared.
     duration mHandicap{};
   };
@@ -232,8 +235,8 @@
   {
     return aEndpoint.mListed.mIsLeaving || aEndpoint.mHasAnsweredLeaving || aEndpoint.mIsEvacuated;
   }
-  /// Tells the limiter that the endpoint is cold, if it is and its service limits that.
-  auto LimitIfCold(const endpoint_state& aEndpoint, time_point aNow) -> void;
+  /// Tells the limiter whether the endpoint is cold, if its service limits what cold ones get.
+  auto UpdateColdLimit(const endpoint_state& aEndpoint, time_point aNow) -> void;
   /// Time until this entry may send a request to the endpoint, by the rate limit that it names and
   /// the limit for cold endpoints; empty if it has no share.
   [[nodiscard]] auto TimeToAdmission(const endpoint_state& aEndpoint,
--- a/packages/dispatch/include/bronzering/dispatch/fleet_retry_budget.h
+++ b/packages/dispatch/include/bronzering/dispatch/fleet_retry_budget.h
@@ -31,6 +31,9 @@
   /// number of known entries, including unresponsive ones. Precondition: aEntries > 0.
   [[nodiscard]] auto TryTake(std::size_t aEntries, time_point aNow) -> bool;
 
+  /// Whether nothing was counted within the window, so that a new budget would decide the same.
+  [[nodiscard]] auto IsIdle(time_point aNow) const -> bool;
+
 private:
   auto RemoveExpired(time_point aNow) -> void;
 
--- a/packages/dispatch/include/bronzering/dispatch/routing_document.h
+++ b/packages/dispatch/include/bronzering/dispatch/routing_document.h
@@ -137,8 +137,8 @@
   std::string mAvailabilityZone;
   std::uint32_t mSlots = 1;
   bool mIsLeaving = false;
-  /// How much longer the endpoint was cold when it wrote this entry, at mWritten. A cold endpoint
-  /// is slow and takes only a few requests per second.
+  /// How much longer the endpoint was cold when it wrote its item, at mWritten. A cold endpoint is
+  /// slow and takes only a few requests per second.
   duration mColdLeft{};
   source_position mWritten;
 };
--- a/packages/dispatch/src/cold_endpoint_limiter.cpp
+++ b/packages/dispatch/src/cold_endpoint_limiter.cpp
@@ -13,16 +13,27 @@
 {
 }
 
-auto cold_endpoint_limiter::SetMembers(std::vector<entry_demand> aMembers, time_point aNow) -> void
+auto cold_endpoint_limiter::SetMembers(const std::vector<entry_demand>& aMembers, time_point aNow)
+  -> void
 {
   assert(std::any_of(aMembers.begin(), aMembers.end(), [this](const auto& aMember) {
     return aMember.mAddress == mSelf;
   }));
-  mMembers = std::move(aMembers);
   mStarted = mStarted.value_or(aNow);
-  mIsSettled = aNow - *mStarted >= kSettlingTime;
-  for (auto& [endpoint, state] : mCold) {
-    SetShare(state, ShareOf(endpoint, state.mRate), aNow);
+  const auto isSettled = aNow - *mStarted >= kSettlingTime;
+  auto hasChanged = std::exchange(mIsSettled, isSettled) != isSettled;
+  for (const auto& member : aMembers) {
+    hasChanged = mMembers.insert_or_assign(member.mAddress, aNow).second || hasChanged;
+  }
+  hasChanged = std::erase_if(mMembers,
+                             [aNow](const auto& aMember) {
+                               return aNow - aMember.second >= kMemberMemory;
+                             }) > 0 ||
+               hasChanged;
+  if (hasChanged) {
+    for (auto& [endpoint, state] : mCold) {
+      SetShare(state, ShareOf(endpoint, state.mRate), aNow);
+    }
   }
 }
 
@@ -39,9 +50,12 @@
     state = cold_state();
     state.mRefilled = aNow;
   }
-  state.mRate = aRate;
   state.mUntil = aUntil;
-  SetShare(state, ShareOf(aEndpoint, aRate), aNow);
+  const auto rate = std::max(aRate, kMinRate);
+  if (state.mRate != rate) {
+    state.mRate = rate;
+    SetShare(state, ShareOf(aEndpoint, rate), aNow);
+  }
 }
 
 auto cold_endpoint_limiter::RemoveExpired(time_point aNow) -> void
@@ -56,17 +70,18 @@
 }
 
 auto cold_endpoint_limiter::TimeToAdmission(endpoint_incarnation_key aEndpoint,
-                                            time_point aNow) const -> std::optional<duration>
+                                            time_point aNow) const -> duration
 {
   const auto* state = Find(aEndpoint, aNow);
   if (state == nullptr) {
     return duration::zero();
   }
+  const auto rest = duration(state->mUntil - aNow);
   if (state->mShare <= 0) {
-    return std::nullopt;
+    return rest;
   }
-  const auto refill = FromSeconds(std::max(0.0, 1 - LevelAt(*state, aNow)) / state->mShare);
-  return std::min<duration>(refill, state->mUntil - aNow);
+  return std::min<duration>(rest,
+                            FromSeconds(std::max(0.0, 1 - LevelAt(*state, aNow)) / state->mShare));
 }
 
 auto cold_endpoint_limiter::OwnRate(endpoint_incarnation_key aEndpoint, time_point aNow) const
@@ -107,32 +122,12 @@
   if (!mIsSettled) {
     return 0;
   }
-  struct candidate
-  {
-    std::uint64_t mWeight = 0;
-    const entry_demand* mMember = nullptr;
-  };
-  auto candidates = std::vector<candidate>();
-  candidates.reserve(mMembers.size());
-  for (const auto& member : mMembers) {
-    candidates.push_back({ RendezvousWeight(aEndpoint, member.mAddress), &member });
-  }
-  const auto owners = std::min(kOwners, candidates.size());
-  std::partial_sort(
-    candidates.begin(),
-    candidates.begin() + static_cast<std::ptrdiff_t>(owners),
-    candidates.end(),
-    [](const auto& aLeft, const auto& aRight) { return aLeft.mWeight > aRight.mWeight; });
-  candidates.resize(owners);
-  auto own = 0.0;
-  auto total = 0.0;
-  for (const auto& owner : candidates) {
-    const auto demand =
-      std::max(owner.mMember->mRequestsPerSecond, endpoint_rate_limiter::kMinDemand);
-    total += demand;
-    own += owner.mMember->mAddress == mSelf ? demand : 0;
-  }
-  return aRate * own / total;
+  const auto own = RendezvousWeight(aEndpoint, mSelf);
+  const auto before = std::count_if(mMembers.begin(), mMembers.end(), [&](const auto& aMember) {
+    return RendezvousWeight(aEndpoint, aMember.first) > own;
+  });
+  const auto isOwner = static_cast<std::size_t>(before) < kOwners;
+  return isOwner ? aRate / static_cast<double>(kOwners) : 0;
 }
 
 auto cold_endpoint_limiter::LevelAt(const cold_state& aState, time_point aNow) -> double
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -117,12 +117,12 @@
       state = std::move(found->second);
     } else {
       state.mAvoidUntil = aNow;
-      state.mColdUntil = aNow;
+      state.mStatedColdUntil = aNow;
+      state.mReturnColdUntil = aNow;
     }
-    // An entry that is read again says nothing new.
-    const auto isNews = listed.mWritten != state.mListed.mWritten;
-    if (listed.mColdLeft > duration::zero() && isNews) {
-      state.mColdUntil = aNow + listed.mColdLeft;
+    // An item that is read again says nothing new about the time that is left.
+    if (listed.mWritten != state.mListed.mWritten) {
+      state.mStatedColdUntil = aNow + listed.mColdLeft;
     }
     state.mIncarnationKey = HashEndpointIncarnation(listed.mId, listed.mIncarnation);
     state.mOwnLoad.mKey = HashEndpointId(listed.mId);
@@ -133,7 +133,7 @@
     state.mIsEvacuated = mEvacuatedZones.contains(listed.mAvailabilityZone);
     auto id = listed.mId;
     state.mListed = std::move(listed);
-    LimitIfCold(state, aNow);
+    UpdateColdLimit(state, aNow);
     mEndpoints.emplace(std::move(id), std::move(state));
   }
   mByService.clear();
@@ -150,23 +150,30 @@
     const auto wasEvacuated = std::exchange(endpoint.mIsEvacuated, isEvacuated);
     const auto* service = ServiceOf(endpoint.mListed.mService);
     if (wasEvacuated && !isEvacuated && service != nullptr) {
-      endpoint.mColdUntil = std::max(endpoint.mColdUntil, aNow + service->mColdTime);
-      LimitIfCold(endpoint, aNow);
+      endpoint.mReturnColdUntil = aNow + service->mColdTime;
+      UpdateColdLimit(endpoint, aNow);
     }
   }
 }
 
-auto endpoint_table::SetMembers(const std::vector<entry_demand>& aMembers, time_point aNow) -> void
+auto endpoint_table::SetMembers(const std::vector<entry_demand>& aMembers,
+                                time_point aNow,
+                                bool aIsIsolated) -> void
 {
   mRateLimits.SetMembers(aMembers, aNow);
-  mColdLimits.SetMembers(aMembers, aNow);
+  if (!aIsIsolated) {
+    mColdLimits.SetMembers(aMembers, aNow);
+  }
 }
 
-auto endpoint_table::LimitIfCold(const endpoint_state& aEndpoint, time_point aNow) -> void
+auto endpoint_table::UpdateColdLimit(const endpoint_state& aEndpoint, time_point aNow) -> void
 {
   const auto* service = ServiceOf(aEndpoint.mListed.mService);
-  if (service != nullptr && service->mColdRate > 0 && aEndpoint.mColdUntil > aNow) {
-    mColdLimits.SetCold(aEndpoint.mIncarnationKey, service->mColdRate, aEndpoint.mColdUntil, aNow);
+  const auto until = std::max(aEndpoint.mStatedColdUntil, aEndpoint.mReturnColdUntil);
+  if (service != nullptr && service->mColdRate > 0 && until > aNow) {
+    mColdLimits.SetCold(aEndpoint.mIncarnationKey, service->mColdRate, until, aNow);
+  } else {
+    mColdLimits.SetWarm(aEndpoint.mIncarnationKey);
   }
 }
 
@@ -177,7 +184,7 @@
   const auto limited =
     mRateLimits.TimeToAdmission(aEndpoint.mIncarnationKey, UsableShare(aRequirement), aNow);
   const auto cold = mColdLimits.TimeToAdmission(aEndpoint.mIncarnationKey, aNow);
-  return limited && cold ? std::optional(std::max(*limited, *cold)) : std::nullopt;
+  return limited ? std::optional(std::max(*limited, cold)) : std::nullopt;
 }
 
 auto endpoint_table::OwnRate(const endpoint_state& aEndpoint, time_point aNow) const -> double
@@ -201,7 +208,7 @@
   const auto& endpoints = listedEndpoints->second;
   const auto isCandidate = [&](const endpoint_state& aEndpoint) {
     return !IsClosed(aEndpoint) && aEndpoint.mPausedUntil <= aNow &&
-           mColdLimits.TimeToAdmission(aEndpoint.mIncarnationKey, aNow) &&
+           mColdLimits.OwnRate(aEndpoint.mIncarnationKey, aNow) != 0.0 &&
            std::find(aExcluded.begin(), aExcluded.end(), aEndpoint.mListed.mId) == aExcluded.end();
   };
   // A failing endpoint tends to have free slots. As long as there is a candidate that is not
@@ -318,10 +325,13 @@
     const auto occupied = slotTime != mSlotTimes.end()
                             ? slotTime->second
                             : ExpectedTimes(*endpoint, *service, {}, aWork).mEnd;
+    // A cold endpoint of which this entry owns nothing is a place for later, like a paused one.
+    const auto isForOthers = mColdLimits.OwnRate(endpoint->mIncarnationKey, aNow) == 0.0;
     const auto rate =
       std::min(share * listed.mSlots / ToSeconds(std::max<duration>(occupied, duration(1))),
-               OwnRate(*endpoint, aNow));
-    const auto isOpen = endpoint->mAvoidUntil <= aNow && endpoint->mPausedUntil <= aNow;
+               isForOthers ? std::numeric_limits<double>::max() : OwnRate(*endpoint, aNow));
+    const auto isOpen =
+      endpoint->mAvoidUntil <= aNow && endpoint->mPausedUntil <= aNow && !isForOthers;
     (isOpen ? openRate : closedRate) += rate;
   }
   return openRate > 0 ? openRate : closedRate;
--- a/packages/dispatch/src/fleet_retry_budget.cpp
+++ b/packages/dispatch/src/fleet_retry_budget.cpp
@@ -23,6 +23,14 @@
   return true;
 }
 
+auto fleet_retry_budget::IsIdle(time_point aNow) const -> bool
+{
+  const auto isOver = [this, aNow](const std::deque<time_point>& aTimes) {
+    return aTimes.empty() || aNow - aTimes.back() > mLimits.mWindow;
+  };
+  return isOver(mRequests) && isOver(mRetries);
+}
+
 auto fleet_retry_budget::RemoveExpired(time_point aNow) -> void
 {
   while (!mRequests.empty() && aNow - mRequests.front() > mLimits.mWindow) {
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -77,7 +77,7 @@
   /// Applies the deferred changes of items that are due, and calls itself when the next one is.
   auto ApplyDeferredChanges() -> void;
   auto AdoptDocument() -> void;
-  /// Keeps the budgets of services that are still there, with the retries that they have counted.
+  /// Gives all services a budget, and keeps what the budgets have counted.
   auto AdoptRetryBudgets(const std::vector<service_spec>& aServices) -> void;
   auto AdoptEndpoints() -> void;
   auto AdoptEvacuatedZones(time_point aNow) -> void;
@@ -98,8 +98,10 @@
   http_get_server mOperatorServer;
   std::set<std::shared_ptr<caller_session>> mSessions;
   bool mIsFetching = false;
-  /// A peer's answer with only what has changed could not be used.
+  /// The next fetch asks for all items, since an answer with only what has changed could not be
+  /// used, or may take longer, since the last one was not there in time.
   bool mNeedsAllItems = false;
+  bool mNeedsMoreTime = false;
   std::set<std::string> mRejectedItems;
 };
 
@@ -179,6 +181,8 @@
     auto& metrics = mShared.mMetrics;
     metrics.Gauge("bronzering_rate_limited_endpoints")
       .Set(static_cast<std::int64_t>(mShared.mEndpoints.RateLimits().LimitedCount()));
+    metrics.Gauge("bronzering_evacuated_zones")
+      .Set(static_cast<std::int64_t>(mShared.mEndpoints.EvacuatedZones().size()));
     metrics.Gauge("bronzering_cold_endpoints")
       .Set(static_cast<std::int64_t>(mShared.mEndpoints.ColdLimits().ColdCount(now)));
     metrics.Gauge("bronzering_suspected_prompt_parts")
@@ -273,20 +277,22 @@
     auto client =
       http_get_client(mShared.mContext.get_executor(), std::move(address), kMaxSnapshotBytes);
     // All items may take longer than the bounds allow on a slow link, so an entry that has items
-    // asks only for what has changed since. A peer with another configuration may have taken
-    // another way to its position.
-    const auto asksForAll = std::exchange(mNeedsAllItems, false) ||
-                            mShared.mItems.Items().empty() ||
-                            mShared.mConfigurationLag.IsLate(ReadBootClock());
+    // asks only for what has changed since. Its position does not show that it lacks a
+    // configuration which the source has lost and peers still have.
+    const auto isLate = mShared.mConfigurationLag.IsLate(ReadBootClock());
+    const auto asksForAll = mNeedsAllItems || mShared.mItems.Items().empty() || isLate;
+    const auto timeout = asksForAll || mNeedsMoreTime ? kPeerFullFetchTimeout : kPeerFetchTimeout;
     auto target = ItemsTarget(asksForAll ? std::nullopt : std::optional(mShared.mItems.Position()));
-    const auto answer = co_await client.Get(std::move(target),
-                                            asksForAll ? kPeerFullFetchTimeout : kPeerFetchTimeout);
+    const auto answer = co_await client.Get(std::move(target), timeout);
     auto snapshot = answer && answer->mStatus == 200 ? DecodeSnapshot(answer->mBody, mShared.mItems)
                                                      : std::nullopt;
-    mNeedsAllItems = answer && !snapshot;
+    mNeedsMoreTime = !answer;
+    mNeedsAllItems = !snapshot && (asksForAll || answer);
     const auto now = ReadBootClock();
     const auto fetched = snapshot ? snapshot->Position() : source_position();
-    mShared.mConfigurationLag.Restart(now);
+    if (isLate || snapshot) {
+      mShared.mConfigurationLag.Restart(now);
+    }
     const auto isApplied =
       snapshot && mShared.mItems.ApplySnapshot(std::move(*snapshot), item_origin::Peer, now);
     mShared.mLog.Write(log_priority::Notable,
@@ -346,11 +352,9 @@
 auto entry_gateway::state::AdoptRetryBudgets(const std::vector<service_spec>& aServices) -> void
 {
   auto& budgets = mShared.mRetryBudgets;
-  std::erase_if(budgets, [&aServices](const auto& aBudget) {
-    return std::none_of(aServices.begin(), aServices.end(), [&](const service_spec& aService) {
-      return aService.mName == aBudget.first;
-    });
-  });
+  // A service that is dropped by mistake comes back with the next document.
+  const auto now = ReadBootClock();
+  std::erase_if(budgets, [now](const auto& aBudget) { return aBudget.second.IsIdle(now); });
   for (const auto& service : aServices) {
     budgets[service.mName].Configure(mShared.mSettings.mRetryLimits);
   }
@@ -385,7 +389,6 @@
       log("zone_returned", zone);
     }
   }
-  mShared.mMetrics.Gauge("bronzering_evacuated_zones").Set(static_cast<std::int64_t>(zones.size()));
   mShared.mEndpoints.SetEvacuatedZones(std::move(zones), aNow);
 }
 
@@ -430,8 +433,10 @@
     if (found == previous.end() || found->second.mIsLeaving != endpoint.mIsLeaving) {
       log(endpoint.mId, endpoint.mIsLeaving ? "leaving" : "ready");
     }
-    const auto isNews = found == previous.end() || found->second.mWritten != endpoint.mWritten;
-    if (isNews && endpoint.mColdLeft > duration::zero()) {
+    const auto isNewWrite = found == previous.end() || found->second.mWritten != endpoint.mWritten;
+    const auto* service = mShared.mEndpoints.ServiceOf(endpoint.mService);
+    if (isNewWrite && endpoint.mColdLeft > duration::zero() && service != nullptr &&
+        service->mColdRate > 0) {
       log(endpoint.mId, "cold");
     }
     previous.erase(endpoint.mId);
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace bronzering {
 
 namespace {
@@ -97,13 +99,22 @@
     ReportPeerChanges(now);
     auto members = mState.mPeers.Demands();
     members.push_back({ mState.mSettings.mAddress, mState.mDemand.At(now) });
-    mState.mEndpoints.SetMembers(members, now);
+    mState.mEndpoints.SetMembers(members, now, IsIsolated());
     SendDigests();
     timer.expires_after(mExchange.Interval());
     co_await timer.async_wait(kUseTuple);
   }
 }
 
+auto peer_channel::IsIsolated() const -> bool
+{
+  const auto& seeds = mState.mSettings.mSeeds;
+  return mState.mPeers.MemberCount() == 1 &&
+         std::any_of(seeds.begin(), seeds.end(), [this](const std::string& aSeed) {
+           return aSeed != mState.mSettings.mAddress;
+         });
+}
+
 auto peer_channel::AnnounceShutdown() -> void
 {
   SendDigests();
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -32,6 +32,8 @@
   auto AnnounceShutdown() -> void;
 
 private:
+  /// Whether the seeds name other entries, but none was heard yet.
+  [[nodiscard]] auto IsIsolated() const -> bool;
   auto OnReceived(const digest_exchange::received& aReceived, time_point aNow) -> void;
   auto SendDigests() -> void;
   auto SendTo(const std::vector<std::string>& aTargets,
