Plan the slots that requests in progress will leave

Cause: the expected wait was the number of waiting requests divided by the long-term rate of slots, counted from the present at each look. It forgot how long the requests in progress had run already, so requests that waited were refused shortly before the slots they waited for became free. With a share of less than one slot in an answer time, an entry also refused all at the first look. Neither the margin on the work nor the longest wait at an endpoint was the cause.

Change: endpoint_table::ForecastPlaces tells when requests in progress are expected to leave their slots, and place_plan counts the places from that, once per pass.

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -14,6 +14,7 @@
 #include <bronzering/dispatch/fleet_retry_budget.h>
 #include <bronzering/dispatch/peer_digest.h>
 #include <bronzering/dispatch/peer_table.h>
+#include <bronzering/dispatch/place_plan.h>
 #include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/return_delay.h>
--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -4,6 +4,7 @@
 #include <bronzering/base/time.h>
 #include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/endpoint_table.h>
+#include <bronzering/dispatch/place_plan.h>
 
 #include <compare>
 #include <map>
@@ -108,8 +109,17 @@
     place_outlook mQueuePositions;
     /// Requests that keep waiting, before the one that is looked at.
     std::size_t mWaiting = 0;
-    std::optional<double> mPlaceRate;
+    std::optional<std::vector<endpoint_forecast>> mForecasts;
+    /// Made from mForecasts, by the endpoints that are excluded.
+    std::map<std::vector<std::string>, place_plan> mPlans;
+    /// Rank of the last request without excluded endpoints, how many more urgent ones arrive, and
+    /// how far its plan was used.
+    std::optional<request_rank> mRank;
+    double mMoreUrgentRate = 0;
+    std::size_t mPlanned = 0;
 
+    /// A request was sent, so the forecasts no longer hold.
+    auto DropPlans() -> void;
     [[nodiscard]] auto PlacesOf(slot_requirement aRequirement) -> place_outlook&
     {
       return aRequirement == slot_requirement::FreeSlot ? mFreeSlots : mQueuePositions;
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -6,6 +6,7 @@
 #include <bronzering/dispatch/cold_endpoint_limiter.h>
 #include <bronzering/dispatch/endpoint_preference.h>
 #include <bronzering/dispatch/endpoint_rate_limiter.h>
+#include <bronzering/dispatch/place_plan.h>
 #include <bronzering/dispatch/routing_document.h>
 
 #include <cstdint>
@@ -137,6 +138,15 @@
                                const token_work& aWork,
                                const std::vector<std::string>& aExcluded,
                                time_point aNow) const -> double;
+  /// What each endpoint of a service offers to requests that wait: the slots that its requests in
+  /// progress leave, and the part of PlaceRate that it adds. The ends of this entry's own requests
+  /// follow from when they were sent and what has arrived; those of the peers' requests, of which
+  /// only the number and the remaining tokens are known, are assumed to be spread evenly.
+  [[nodiscard]] auto ForecastPlaces(std::string_view aService,
+                                    const token_work& aWork,
+                                    time_point aNow) const -> std::vector<endpoint_forecast>;
+  /// Share of this entry in the demand of all callers, 0 to 1.
+  [[nodiscard]] auto OwnDemandShare() const -> double { return mRateLimits.OwnDemandShare(); }
 
   /// Records that a request is sent to an endpoint. Precondition: the exchange has no outstanding
   /// request.
@@ -225,6 +235,7 @@
     time_point mSent;
     time_point mFirstEvent;
     time_point mLastEvent;
+    time_point mExpectedEnd;
   };
   /// Whether nothing new is sent to the endpoint: it is shutting down, according to the list or to
   /// its own answers, or its availability zone is evacuated.
@@ -255,6 +266,29 @@
                     slot_requirement aRequirement,
                     time_point aNow,
                     Visitor&& aVisitor) const -> void;
+  /// Time for which a request occupies a slot of the endpoint. aWork stands for the requests of the
+  /// service as long as no answer of it was measured.
+  [[nodiscard]] auto OccupiedTime(const endpoint_state& aEndpoint,
+                                  const service_spec& aService,
+                                  const token_work& aWork) const -> duration;
+  /// Places per second that this entry can expect at the endpoint if a request occupies a slot for
+  /// aOccupied.
+  [[nodiscard]] auto PlaceRate(const endpoint_state& aEndpoint,
+                               duration aOccupied,
+                               time_point aNow) const -> double;
+  /// This entry's outstanding requests at an endpoint.
+  struct own_ends
+  {
+    /// When they are expected to end.
+    std::vector<duration> mTimes;
+    /// Number of those that may still wait in the endpoint's own queue.
+    std::size_t mMaybeQueued = 0;
+  };
+  /// The times at which the endpoint's slots become free for requests that are not sent yet.
+  [[nodiscard]] auto ComingPlaces(const endpoint_state& aEndpoint,
+                                  const service_spec& aService,
+                                  own_ends aOwnEnds,
+                                  duration aOccupied) const -> std::vector<coming_place>;
   /// Mean time after which one of the endpoint's slots becomes free while all are in use.
   [[nodiscard]] auto SlotInterval(const endpoint_state& aEndpoint) const -> duration;
   /// Expected wait in the endpoint's own queue until a slot is free; zero if one is.
--- a/packages/dispatch/src/dispatch_queue.cpp
+++ b/packages/dispatch/src/dispatch_queue.cpp
@@ -51,6 +51,7 @@
     }
     if (decision->mEndpoint) {
       mEndpoints.Begin(ticket.mExchange, decision->mEndpoint->mId, ticket.mWork, aNow);
+      outlook.DropPlans();
     }
     decision->mWaiting = mTickets.size() - 1;
     decisions.push_back(std::move(*decision));
@@ -85,6 +86,13 @@
   return decision;
 }
 
+auto dispatch_queue::service_outlook::DropPlans() -> void
+{
+  mForecasts.reset();
+  mPlans.clear();
+  mPlanned = 0;
+}
+
 auto dispatch_queue::ChooseFor(const dispatch_ticket& aTicket,
                                service_outlook& aOutlook,
                                time_point aNow) const -> std::optional<endpoint_table::choice>
@@ -133,18 +141,26 @@
                                  service_outlook& aOutlook,
                                  time_point aNow) const -> std::optional<duration>
 {
-  const auto measureRate = [&] {
-    return mEndpoints.PlaceRate(aTicket.mService, aTicket.mWork, aTicket.mExcluded, aNow);
-  };
-  auto rate = 0.0;
-  if (aTicket.mExcluded.empty()) {
-    aOutlook.mPlaceRate = aOutlook.mPlaceRate ? *aOutlook.mPlaceRate : measureRate();
-    rate = *aOutlook.mPlaceRate;
-  } else {
-    rate = measureRate();
+  if (!aOutlook.mForecasts) {
+    aOutlook.mForecasts = mEndpoints.ForecastPlaces(aTicket.mService, aTicket.mWork, aNow);
+  }
+  const auto* service = mEndpoints.ServiceOf(aTicket.mService);
+  const auto& plan = aOutlook.mPlans
+                       .try_emplace(aTicket.mExcluded,
+                                    *aOutlook.mForecasts,
+                                    aTicket.mExcluded,
+                                    mEndpoints.OwnDemandShare(),
+                                    service != nullptr && service->mIsModel)
+                       .first->second;
+  if (aOutlook.mRank != aTicket.mRank) {
+    aOutlook.mRank = aTicket.mRank;
+    aOutlook.mMoreUrgentRate = MoreUrgentRate(aTicket, aNow);
+    aOutlook.mPlanned = 0;
   }
-  rate -= MoreUrgentRate(aTicket, aNow);
-  if (rate <= 0) {
+  auto first = std::size_t{ 0 };
+  auto& from = aTicket.mExcluded.empty() ? aOutlook.mPlanned : first;
+  const auto place = plan.TimeTo(aOutlook.mWaiting + 1, aOutlook.mMoreUrgentRate, from);
+  if (!place) {
     return std::nullopt;
   }
   const auto requirement = RequirementOf(aTicket);
@@ -152,7 +168,7 @@
   if (!admission) {
     admission = mEndpoints.TimeToAdmission(aTicket.mService, requirement, aNow);
   }
-  return std::max(*admission, FromSeconds(static_cast<double>(aOutlook.mWaiting + 1) / rate));
+  return std::max(*admission, *place);
 }
 
 auto dispatch_queue::LatestStart(const dispatch_ticket& aTicket) const -> time_point
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -304,29 +304,155 @@
   if (service == nullptr || endpoints == mByService.end()) {
     return 0;
   }
-  const auto share = mRateLimits.OwnDemandShare();
-  const auto slotTime = mSlotTimes.find(aService);
   // Endpoints that are avoided or want a pause count only if there is no other.
   auto openRate = 0.0;
   auto closedRate = 0.0;
   for (const auto* endpoint : endpoints->second) {
-    const auto& listed = endpoint->mListed;
     if (IsClosed(*endpoint) ||
-        std::find(aExcluded.begin(), aExcluded.end(), listed.mId) != aExcluded.end()) {
+        std::find(aExcluded.begin(), aExcluded.end(), endpoint->mListed.mId) != aExcluded.end()) {
       continue;
     }
-    const auto occupied = slotTime != mSlotTimes.end()
-                            ? slotTime->second
-                            : ExpectedTimes(*endpoint, *service, {}, aWork).mEnd;
-    const auto rate =
-      std::min(share * listed.mSlots / ToSeconds(std::max<duration>(occupied, duration(1))),
-               OwnRate(*endpoint, aNow));
+    const auto rate = PlaceRate(*endpoint, OccupiedTime(*endpoint, *service, aWork), aNow);
     const auto isOpen = endpoint->mAvoidUntil <= aNow && endpoint->mPausedUntil <= aNow;
     (isOpen ? openRate : closedRate) += rate;
   }
   return openRate > 0 ? openRate : closedRate;
 }
 
+auto endpoint_table::OccupiedTime(const endpoint_state& aEndpoint,
+                                  const service_spec& aService,
+                                  const token_work& aWork) const -> duration
+{
+  const auto slotTime = mSlotTimes.find(aService.mName);
+  const auto occupied = slotTime != mSlotTimes.end()
+                          ? slotTime->second
+                          : ExpectedTimes(aEndpoint, aService, {}, aWork).mEnd;
+  return std::max<duration>(occupied, duration(1));
+}
+
+auto endpoint_table::PlaceRate(const endpoint_state& aEndpoint,
+                               duration aOccupied,
+                               time_point aNow) const -> double
+{
+  return std::min(mRateLimits.OwnDemandShare() * aEndpoint.mListed.mSlots / ToSeconds(aOccupied),
+                  OwnRate(aEndpoint, aNow));
+}
+
+auto endpoint_table::ForecastPlaces(std::string_view aService,
+                                    const token_work& aWork,
+                                    time_point aNow) const -> std::vector<endpoint_forecast>
+{
+  auto forecasts = std::vector<endpoint_forecast>();
+  const auto* service = ServiceOf(aService);
+  const auto endpoints = mByService.find(aService);
+  if (service == nullptr || endpoints == mByService.end()) {
+    return forecasts;
+  }
+  struct own_requests
+  {
+    std::uint64_t mIncarnation = 0;
+    own_ends mEnds;
+  };
+  auto own = std::unordered_map<std::string_view, own_requests>();
+  for (const auto* endpoint : endpoints->second) {
+    own[endpoint->mListed.mId].mIncarnation = endpoint->mListed.mIncarnation;
+  }
+  const auto slotTime = mSlotTimes.find(aService);
+  for (const auto& [exchange, sent] : mOutstanding) {
+    const auto found = own.find(sent.mEndpoint);
+    if (found == own.end() || found->second.mIncarnation != sent.mIncarnation) {
+      continue;
+    }
+    auto end = sent.mExpectedEnd;
+    if (service->mIsModel && sent.mHadFreeSlot && !sent.mHasFirstEvent &&
+        slotTime != mSlotTimes.end()) {
+      // The length of an answer that has not begun may be no more than a limit that the caller set.
+      end = std::min(end, sent.mSent + slotTime->second);
+    }
+    // A request that is overdue is expected to take as long again as it is late, so that one that
+    // never ends soon promises no place.
+    const auto left = duration(end - aNow);
+    auto& ends = found->second.mEnds;
+    ends.mTimes.push_back(left < duration::zero() ? -left : left);
+    ends.mMaybeQueued += !sent.mHadFreeSlot && !sent.mHasFirstEvent ? 1 : 0;
+  }
+  forecasts.reserve(endpoints->second.size());
+  for (const auto* endpoint : endpoints->second) {
+    if (IsClosed(*endpoint)) {
+      continue;
+    }
+    auto forecast = endpoint_forecast();
+    forecast.mId = endpoint->mListed.mId;
+    forecast.mIsOpen = endpoint->mAvoidUntil <= aNow && endpoint->mPausedUntil <= aNow;
+    forecast.mPeriod = OccupiedTime(*endpoint, *service, aWork);
+    forecast.mRate = PlaceRate(*endpoint, forecast.mPeriod, aNow);
+    if (forecast.mRate < OwnRate(*endpoint, aNow)) {
+      forecast.mPlaces =
+        ComingPlaces(*endpoint, *service, std::move(own[forecast.mId].mEnds), forecast.mPeriod);
+      const auto closed = duration(std::max(endpoint->mAvoidUntil, endpoint->mPausedUntil) - aNow);
+      for (auto& place : forecast.mPlaces) {
+        place.mTime = std::max(place.mTime, closed);
+      }
+    }
+    forecasts.push_back(std::move(forecast));
+  }
+  return forecasts;
+}
+
+auto endpoint_table::ComingPlaces(const endpoint_state& aEndpoint,
+                                  const service_spec& aService,
+                                  own_ends aOwnEnds,
+                                  duration aOccupied) const -> std::vector<coming_place>
+{
+  const auto slots = std::size_t{ std::max(aEndpoint.mListed.mSlots, 1U) };
+  const auto peers = mPeerTotals.find(aEndpoint.mOwnLoad.mKey);
+  const auto peerLoad = peers == mPeerTotals.end() ? endpoint_load() : peers->second;
+
+  // Requests that exceed the slots wait at the endpoint; of this entry's, the last to end.
+  const auto requests = aOwnEnds.mTimes.size() + peerLoad.mRequests;
+  const auto queued = requests - std::min(requests, slots);
+  const auto ownQueued = std::min(queued, aOwnEnds.mMaybeQueued);
+  const auto peersRunning =
+    peerLoad.mRequests - std::min<std::size_t>(peerLoad.mRequests, queued - ownQueued);
+  auto& own = aOwnEnds.mTimes;
+  std::sort(own.begin(), own.end());
+  own.resize(own.size() - ownQueued);
+
+  auto places = std::vector<coming_place>();
+  places.reserve(slots);
+  for (const auto& end : own) {
+    places.push_back({ end, true });
+  }
+  const auto spread = [&places](std::size_t aCount, duration aWithin) {
+    for (auto index = std::size_t{ 1 }; index <= aCount; ++index) {
+      const auto part = static_cast<double>(index) / static_cast<double>(aCount + 1);
+      places.push_back({ FromSeconds(ToSeconds(aWithin) * part), false });
+    }
+  };
+  auto within = aOccupied;
+  if (aService.mIsModel && peerLoad.mRequests > 0) {
+    const auto meanTokens =
+      std::max<std::uint64_t>(peerLoad.mOutputTokens / peerLoad.mRequests, kMinRemainingTokens);
+    within = 2 * TokenTimeOf(EffectiveSpeed(aEndpoint)) * static_cast<duration::rep>(meanTokens);
+  }
+  spread(peersRunning, within);
+  // Slots that are free now are of no use to the requests that wait; when they will be, is not
+  // known.
+  spread(slots - std::min(slots, places.size()), aOccupied);
+
+  // Those that wait at the endpoint take the slots that become free first.
+  const auto isLater = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mTime > aRight.mTime;
+  };
+  std::make_heap(places.begin(), places.end(), isLater);
+  for (auto index = std::size_t{ 0 }; index < queued; ++index) {
+    std::pop_heap(places.begin(), places.end(), isLater);
+    places.back() = { places.back().mTime + aOccupied, index < ownQueued };
+    std::push_heap(places.begin(), places.end(), isLater);
+  }
+  return places;
+}
+
 auto endpoint_table::Begin(exchange_id aExchange,
                            const std::string& aEndpoint,
                            const token_work& aWork,
@@ -339,6 +465,9 @@
   }
   auto& endpoint = found->second;
   const auto total = TotalLoad(endpoint);
+  const auto* service = ServiceOf(endpoint.mListed.mService);
+  const auto expected =
+    service == nullptr ? answer_times() : ExpectedTimes(endpoint, *service, total, aWork);
   mOutstanding.emplace(aExchange,
                        outstanding_request{ aEndpoint,
                                             endpoint.mListed.mIncarnation,
@@ -349,7 +478,8 @@
                                             false,
                                             aNow,
                                             aNow,
-                                            aNow });
+                                            aNow,
+                                            aNow + expected.mEnd });
   mRateLimits.OnSent(endpoint.mIncarnationKey, aNow);
   mColdLimits.OnSent(endpoint.mIncarnationKey, aNow);
   ++endpoint.mOwnLoad.mRequests;
@@ -392,6 +522,10 @@
   endpoint->mOwnLoad.mOutputTokens -=
     std::min(endpoint->mOwnLoad.mOutputTokens, sent.mRemainingTokens - remaining);
   sent.mRemainingTokens = remaining;
+  if (service != nullptr && service->mIsModel) {
+    sent.mExpectedEnd =
+      aNow + TokenTimeOf(EffectiveSpeed(*endpoint)) * static_cast<duration::rep>(remaining);
+  }
 }
 
 auto endpoint_table::End(exchange_id aExchange, attempt_result aResult, time_point aNow) -> void
