Decide when a request in progress may be hedged

A few slow answers make up the tail, and nothing was sent elsewhere before an endpoint counted as stalled, after three times the expected time.

hedge_policy measures answer times by service, route and size of the work in decaying histograms. It allows a second attempt after the 95th percentile if no request waits for the service, another endpoint has a free slot and is expected to answer earlier, within a percentage of the service's requests that is counted exactly. It stops where too few hedges win. Boost.Accumulators has no histogram that decays, and the buckets of packages/base double, which is too coarse for a percentile.

endpoint_table learns from a cancelled attempt (OnOvertaken).

Nothing uses the class yet.

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <bronzering/dispatch/answer_time_histogram.h>
 #include <bronzering/dispatch/answer_times.h>
 #include <bronzering/dispatch/configuration_lag.h>
 #include <bronzering/dispatch/decaying_rate.h>
@@ -12,6 +13,7 @@
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
+#include <bronzering/dispatch/hedge_policy.h>
 #include <bronzering/dispatch/peer_digest.h>
 #include <bronzering/dispatch/peer_table.h>
 #include <bronzering/dispatch/prompt_quarantine.h>
--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -29,6 +30,8 @@
   time_point mDeadline;
   /// Endpoints that were already tried for this request.
   std::vector<std::string> mExcluded;
+  /// Only a free slot will do, whatever the service and the rank.
+  bool mNeedsFreeSlot = false;
 };
 
 struct dispatch_decision
@@ -81,6 +84,8 @@
   /// before it; empty if none is in sight.
   [[nodiscard]] auto TimeToPlace(const dispatch_ticket& aTicket, time_point aNow) const
     -> std::optional<duration>;
+  /// Whether a request waits for the service.
+  [[nodiscard]] auto HasWaiting(std::string_view aService) const -> bool;
   [[nodiscard]] auto empty() const -> bool { return mTickets.empty(); }
   [[nodiscard]] auto size() const -> std::size_t { return mTickets.size(); }
 
--- a/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/endpoint_table.h
@@ -92,6 +92,8 @@
     std::uint64_t mIncarnation = 0;
     std::string mAddress;
     answer_times mExpected;
+    /// Whether one of its slots is free, as far as known.
+    bool mHasFreeSlot = false;
   };
 
   /// aSelf is the address of this entry.
@@ -149,6 +151,11 @@
   /// Records that the endpoint has sent nothing for longer than expected. The request stays
   /// outstanding.
   auto OnStall(exchange_id aExchange, time_point aNow) -> void;
+  /// Records that an outstanding request is about to be abandoned because another attempt at it has
+  /// answered, and aTime, which it would probably have taken: for models until the first event.
+  /// That only makes the endpoint's measured speed slower, never faster. Unknown exchanges are
+  /// ignored.
+  auto OnOvertaken(exchange_id aExchange, duration aTime) -> void;
   /// Records the end of an outstanding request. Unknown exchanges are ignored.
   auto End(exchange_id aExchange, attempt_result aResult, time_point aNow) -> void;
 
@@ -267,6 +274,8 @@
                                    const token_work& aWork) const -> answer_times;
   static auto AddFailure(endpoint_state& aEndpoint, duration aFirstAvoidance, time_point aNow)
     -> void;
+  /// Records the time of a request to a service that is not a model.
+  static auto MeasureServiceTime(endpoint_state& aEndpoint, duration aTime) -> void;
   auto MeasurePrefillSpeed(endpoint_state& aEndpoint,
                            const outstanding_request& aSent,
                            time_point aNow) -> void;
--- a/packages/dispatch/src/dispatch_queue.cpp
+++ b/packages/dispatch/src/dispatch_queue.cpp
@@ -110,6 +110,13 @@
   return ChooseFor(aTicket, outlook, aNow);
 }
 
+auto dispatch_queue::HasWaiting(std::string_view aService) const -> bool
+{
+  return std::any_of(mTickets.begin(), mTickets.end(), [aService](const auto& aQueued) {
+    return aQueued.second.mService == aService;
+  });
+}
+
 auto dispatch_queue::MayWait(const dispatch_ticket& aTicket, time_point aNow) const -> bool
 {
   const auto place = TimeToPlace(aTicket, aNow);
@@ -165,6 +172,9 @@
 
 auto dispatch_queue::RequirementOf(const dispatch_ticket& aTicket) const -> slot_requirement
 {
+  if (aTicket.mNeedsFreeSlot) {
+    return slot_requirement::FreeSlot;
+  }
   const auto* service = mEndpoints.ServiceOf(aTicket.mService);
   const auto isModel = service != nullptr && service->mIsModel;
   return !isModel || aTicket.mIsUrgent ? slot_requirement::FreeSlotOrQueue
--- a/packages/dispatch/src/endpoint_table.cpp
+++ b/packages/dispatch/src/endpoint_table.cpp
@@ -252,7 +252,11 @@
                  if (FitsInto(expected, aAllowed) && (!best || cost < leastCost)) {
                    leastCost = cost;
                    const auto& listed = aEndpoint.mListed;
-                   best = choice{ listed.mId, listed.mIncarnation, listed.mAddress, expected };
+                   best = choice{ listed.mId,
+                                  listed.mIncarnation,
+                                  listed.mAddress,
+                                  expected,
+                                  aTotal.mRequests < listed.mSlots };
                  }
                  return true;
                });
@@ -424,12 +428,7 @@
     case attempt_result::Answered: {
       const auto* service = ServiceOf(endpoint->mListed.mService);
       if (service != nullptr && !service->mIsModel && sent.mHadFreeSlot) {
-        // For services that are not models, mTokenTime holds the time per request.
-        auto& serviceTime = endpoint->mSpeed.mTokenTime;
-        serviceTime = duration(static_cast<duration::rep>(
-          UpdateAverage(static_cast<double>(serviceTime.count()),
-                        static_cast<double>(duration(aNow - sent.mSent).count()),
-                        kServiceTimeWeight)));
+        MeasureServiceTime(*endpoint, aNow - sent.mSent);
       }
       endpoint->mConsecutiveFailures = 0;
       endpoint->mFailureRate -= kFailureWeight * endpoint->mFailureRate;
@@ -451,6 +450,25 @@
   }
 }
 
+auto endpoint_table::OnOvertaken(exchange_id aExchange, duration aTime) -> void
+{
+  const auto found = mOutstanding.find(aExchange);
+  auto* endpoint = found == mOutstanding.end() ? nullptr : Find(found->second);
+  const auto* service = endpoint == nullptr ? nullptr : ServiceOf(endpoint->mListed.mService);
+  if (service == nullptr || !found->second.mHadFreeSlot || found->second.mHasFirstEvent) {
+    return;
+  }
+  const auto previous = endpoint->mSpeed;
+  if (service->mIsModel) {
+    MeasurePrefillSpeed(*endpoint, found->second, found->second.mSent + aTime);
+  } else {
+    MeasureServiceTime(*endpoint, aTime);
+  }
+  endpoint->mSpeed.mTokenTime = std::max(endpoint->mSpeed.mTokenTime, previous.mTokenTime);
+  endpoint->mSpeed.mPromptTokenMicros =
+    std::max(endpoint->mSpeed.mPromptTokenMicros, previous.mPromptTokenMicros);
+}
+
 auto endpoint_table::OnStall(exchange_id aExchange, time_point aNow) -> void
 {
   const auto found = mOutstanding.find(aExchange);
@@ -706,6 +724,16 @@
   aEndpoint.mAvoidUntil = std::max(aEndpoint.mAvoidUntil, aNow + avoidance);
 }
 
+auto endpoint_table::MeasureServiceTime(endpoint_state& aEndpoint, duration aTime) -> void
+{
+  // For services that are not models, mTokenTime holds the time per request.
+  auto& serviceTime = aEndpoint.mSpeed.mTokenTime;
+  serviceTime =
+    duration(static_cast<duration::rep>(UpdateAverage(static_cast<double>(serviceTime.count()),
+                                                      static_cast<double>(aTime.count()),
+                                                      kServiceTimeWeight)));
+}
+
 auto endpoint_table::MeasurePrefillSpeed(endpoint_state& aEndpoint,
                                          const outstanding_request& aSent,
                                          time_point aNow) -> void
