Send a second attempt when an answer is late

A request that may be repeated waited for its endpoint until that counted as stalled, although another endpoint was idle.

With gateway_settings::mHedgePercent above 0 (the default is 0), exchange makes a second attempt at another endpoint where hedge_policy allows it, within max_attempts, against one retry of the service's budget, and where the shutdown schedule lets it start. The first complete answer, or the first event of a stream, is forwarded; the other attempt is cancelled, which closes its connection, and ends as Abandoned. Each attempt has its own id in the endpoint_table and its own events until it has answered. If one fails, the other one goes on.

--- a/packages/gateway/include/bronzering/gateway/gateway_settings.h
+++ b/packages/gateway/include/bronzering/gateway/gateway_settings.h
@@ -33,6 +33,9 @@
   source_bounds mSourceBounds;
   retry_limits mRetryLimits;
   quota_tolerance mQuotaTolerance;
+  /// Percentage of a service's requests that may be sent to a second endpoint when their answers
+  /// are late; 0 means none. At most two decimals count.
+  double mHedgePercent = 0;
   /// Time from the stop request until the process must have ended.
   duration mStopGrace = std::chrono::seconds(8);
   std::size_t mMaxConnections = 3'000;
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -339,6 +339,7 @@
   for (const auto& service : aServices) {
     budgets[service.mName].Configure(mShared.mSettings.mRetryLimits);
   }
+  mShared.mHedges.RetainServices(aServices);
 }
 
 auto entry_gateway::state::AdoptEvacuatedZones(time_point aNow) -> void
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -33,8 +33,6 @@
 constexpr auto kStreamStallMargin = duration(std::chrono::milliseconds(600));
 /// A stream is stalled when nothing is received for this long.
 constexpr auto kEventStallTimeout = duration(std::chrono::milliseconds(1'000));
-/// Maximum number of attempts of one request, including those that the endpoint declined.
-constexpr auto kMaxSends = 4U;
 /// Another entry can serve a request at once that this one refuses because it is shutting down. The
 /// delay spreads the callers of its connections over the other entries' event loops.
 constexpr auto kStoppingReturn = duration(std::chrono::milliseconds(50));
@@ -193,6 +191,9 @@
     co_return false;
   }
   mState.mRetryBudgets[mService].OnRequest(mArrived);
+  if (mState.mHedges.IsOn()) {
+    mState.mHedges.OnRequest(mService);
+  }
   mState.mDemand.OnEvent(ReadBootClock());
   mRequest = ForwardedRequest(std::move(mRequest), mState.mHeaderNames);
   co_return true;
@@ -212,8 +213,12 @@
                         { { "request", mMetadata.mId } },
                         ReadBootClock());
     }
+    const auto queued = ReadBootClock();
     const auto decision = co_await mState.mDispatchWaiter.Wait(Ticket());
     mDecision = decision;
+    if (mState.mHedges.IsOn()) {
+      RecordShortage(decision, ReadBootClock() - queued);
+    }
     if (!decision.mEndpoint) {
       if (mExecutions > 0) {
         co_await Fail(502, kNoEndpointReason);
@@ -247,14 +252,18 @@
       mSpentUnits = LimitUnits();
     }
     LogDispatch(decision);
-    auto current = attempt{ endpoint, ReadBootClock(), 0, {} };
-    const auto outcome = co_await SendOnce(current, decision.mExpected);
+    auto current = attempt{ mId, endpoint, ReadBootClock(), 0, {} };
+    const auto hedgeDelay = verdict.mIsTrial ? std::nullopt : HedgeDelay();
+    auto outcome = execution_outcome::Done;
+    if (hedgeDelay) {
+      outcome = co_await SendHedged(current, decision.mExpected, *hedgeDelay);
+    } else {
+      outcome = co_await SendOnce(current, decision.mExpected);
+    }
     if (outcome == execution_outcome::Done) {
       co_return;
     }
-    LogFailedAttempt(current, outcome);
-    ReportBrokenAttempt(current);
-    mTriedEndpoints.push_back(endpoint.mId);
+    RecordFailedAttempt(current, outcome);
     if (outcome == execution_outcome::Retry) {
       continue;
     }
@@ -288,7 +297,7 @@
       mState.mEndpoints.End(mId, mResult, ReadBootClock());
       mState.mDispatchWaiter.Wake();
     }
-  } guard{ mState, mId };
+  } guard{ mState, aAttempt.mId };
 
   ++mSends;
   const auto& endpoint = aAttempt.mEndpoint;
@@ -300,14 +309,25 @@
     endpoint_call(mState.mConnections, endpoint.mId, mState.mHeaderNames.mRequestId, maxPooled);
   const auto maxIdle =
     mRoute->mRetryPolicy == retry_policy::Once ? kMaxIdleTimeNoRetry : kMaxIdleTime;
-  if (!co_await call.Open(endpoint.mAddress, maxIdle, kConnectTimeout)) {
-    guard.mResult = attempt_result::Unreachable;
+  const auto isOpen = co_await call.Open(endpoint.mAddress, maxIdle, kConnectTimeout);
+  // An attempt that is cancelled fails by no fault of its endpoint.
+  const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
+  const auto isCancelled = [&] {
+    return IsOvertaken(aAttempt) ||
+           (mHedgedAttempts != nullptr &&
+            cancellation.cancelled() != boost::asio::cancellation_type::none);
+  };
+  if (!isOpen || isCancelled()) {
+    guard.mResult = isCancelled() ? attempt_result::Abandoned : attempt_result::Unreachable;
     co_return execution_outcome::NotReached;
   }
   const auto eventsBefore = mEvents.EventCount();
   const auto outcome = co_await Transfer(call, aAttempt, aExpected, guard.mResult);
   aAttempt.mEvents = mEvents.EventCount() - eventsBefore;
   aAttempt.mReadError = call.ReadError();
+  if (outcome != execution_outcome::Done && isCancelled()) {
+    guard.mResult = attempt_result::Abandoned;
+  }
   co_return outcome;
 }
 
@@ -321,6 +341,7 @@
   const auto sent = ReadBootClock();
   mFirstSent = mFirstSent.value_or(sent);
   ArmStallTimer(aCall,
+                aAttempt,
                 aExpected * kStallFactor +
                   (mRoute->mIsStream ? kStreamStallMargin : kResponseStallMargin));
   if (!co_await aCall.Send(ComposeRequest(aAttempt.mEndpoint.mId))) {
@@ -344,9 +365,9 @@
     co_return execution_outcome::MayHaveExecuted;
   }
   if (isSuccess && mRoute->mIsStream) {
-    co_return co_await RelayStream(aCall, aResult);
+    co_return co_await RelayStream(aCall, aAttempt, aResult);
   }
-  co_return co_await RelayBuffered(aCall, aResult);
+  co_return co_await RelayBuffered(aCall, aAttempt, aResult);
 }
 
 auto exchange::RecordEndpointState(const endpoint_call& aCall, const attempt& aAttempt) -> void
@@ -413,7 +434,7 @@
   }
 }
 
-auto exchange::RelayBuffered(endpoint_call& aCall, attempt_result& aResult)
+auto exchange::RelayBuffered(endpoint_call& aCall, const attempt& aAttempt, attempt_result& aResult)
   -> boost::asio::awaitable<execution_outcome>
 {
   auto body = std::string();
@@ -435,8 +456,17 @@
   aResult = isError ? attempt_result::Failed : attempt_result::Answered;
   if (aCall.Status() >= 200 && aCall.Status() < 300) {
     mState.mQuarantine.OnAnswer(mPartKeys, ReadBootClock());
+    RecordAnswerTime(aAttempt, ReadBootClock());
   }
-  if (mResponseWriter.HasStarted()) {
+  // An error is forwarded only if no other attempt may bring an answer. A hedge that brings one has
+  // not won.
+  if (mResponseWriter.HasStarted() || (isError && HasRival(aAttempt))) {
+    co_return execution_outcome::MayHaveExecuted;
+  }
+  if (isError) {
+    SettleHedge(hedge_result::Failed);
+  }
+  if (!ClaimAnswer(aAttempt)) {
     co_return execution_outcome::MayHaveExecuted;
   }
   if (isError && MayRetry() && mSends < kMaxSends && CanEndElsewhere(ReadBootClock()) &&
@@ -449,12 +479,17 @@
   co_return execution_outcome::Done;
 }
 
-auto exchange::RelayStream(endpoint_call& aCall, attempt_result& aResult)
+auto exchange::RelayStream(endpoint_call& aCall, const attempt& aAttempt, attempt_result& aResult)
   -> boost::asio::awaitable<execution_outcome>
 {
   const auto head = aCall.Fields();
   const auto status = aCall.Status();
-  mEvents.BeginAttempt();
+  // While two attempts are made, each has its own events until it is the first to answer.
+  auto isClaimed = mHedgedAttempts == nullptr;
+  auto ownEvents = event_splitter();
+  if (isClaimed) {
+    mEvents.BeginAttempt();
+  }
   auto attemptEvents = 0U;
   auto isAnswering = false;
   for (;;) {
@@ -464,9 +499,24 @@
       co_return execution_outcome::MayHaveExecuted;
     }
     const auto now = ReadBootClock();
-    ArmStallTimer(aCall, kEventStallTimeout);
-    const auto part = mEvents.Add(*bytes);
-    mState.mEndpoints.OnEvents(mId, part.mEvents, now);
+    ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
+    const auto part = (isClaimed ? mEvents : ownEvents).Add(*bytes);
+    const auto partialSize = (isClaimed ? mEvents : ownEvents).PartialEvent().size();
+    mState.mEndpoints.OnEvents(aAttempt.mId, part.mEvents, now);
+    if (attemptEvents == 0 && part.mEvents > 0) {
+      RecordAnswerTime(aAttempt, now);
+    }
+    // A crash ends a response without a length like its regular end does.
+    const auto isCutOff =
+      bytes->empty() && (partialSize > 0 || (attemptEvents == 0 && aCall.EndsWithConnection()));
+    if (!isClaimed && (part.mEvents > 0 || (bytes->empty() && !isCutOff))) {
+      if (!ClaimAnswer(aAttempt)) {
+        aResult = attempt_result::Abandoned;
+        co_return execution_outcome::MayHaveExecuted;
+      }
+      mEvents = std::move(ownEvents);
+      isClaimed = true;
+    }
     if (part.mEvents > 0) {
       if (mLastEvent) {
         mLongestEventGap = std::max<duration>(mLongestEventGap, now - *mLastEvent);
@@ -474,10 +524,7 @@
       mLastEvent = now;
     }
     attemptEvents += part.mEvents;
-    // A crash ends a response without a length like its regular end does.
-    const auto isCutOff = bytes->empty() && (!mEvents.PartialEvent().empty() ||
-                                             (attemptEvents == 0 && aCall.EndsWithConnection()));
-    if (isCutOff || mEvents.PartialEvent().size() > kMaxEventBytes) {
+    if (isCutOff || partialSize > kMaxEventBytes) {
       aCall.MarkIncomplete();
       aResult = attempt_result::Failed;
       co_return execution_outcome::MayHaveExecuted;
@@ -516,29 +563,32 @@
   }
 }
 
-auto exchange::ArmStallTimer(endpoint_call& aCall, duration aTimeout) -> void
+auto exchange::ArmStallTimer(endpoint_call& aCall, const attempt& aAttempt, duration aTimeout)
+  -> void
 {
-  aCall.ArmStallTimer(aTimeout, [this, &aCall] { OnStall(aCall); });
+  aCall.ArmStallTimer(aTimeout, [this, &aCall, &aAttempt] { OnStall(aCall, aAttempt); });
 }
 
-auto exchange::OnStall(endpoint_call& aCall) -> void
+auto exchange::OnStall(endpoint_call& aCall, const attempt& aAttempt) -> void
 {
   const auto now = ReadBootClock();
-  mState.mEndpoints.OnStall(mId, now);
-  // The endpoint may only be slow, so its answer is given up only for a retry that can be made.
-  const auto mayRetry = MayRetry() && mSends < kMaxSends;
+  mState.mEndpoints.OnStall(aAttempt.mId, now);
+  // The endpoint may only be slow, so its answer is given up only for a retry that can be made. A
+  // second attempt that is in progress takes the place of the retry.
+  const auto hasRival = HasRival(aAttempt);
+  const auto mayRetry = !hasRival && MayRetry() && mSends < kMaxSends;
   mIsRetryTaken = mayRetry && CanBeSentElsewhere(now) && TakeRetry();
   mState.mLog.Write(log_priority::Notable,
                     "endpoint_silent",
                     { { "request", mMetadata.mId },
-                      { "endpoint", mLastEndpoint },
+                      { "endpoint", aAttempt.mEndpoint.mId },
                       { "events", mEvents.EventCount() },
                       { "aborted", mIsRetryTaken } },
                     now);
   if (mIsRetryTaken) {
     aCall.Abort();
-  } else if (mayRetry) {
-    ArmStallTimer(aCall, kEventStallTimeout);
+  } else if (mayRetry || hasRival) {
+    ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
   }
 }
 
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/object.hpp>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -65,6 +66,9 @@
   auto OnStopRequested() -> void { mExpiry.cancel(); }
 
 private:
+  /// Maximum number of attempts of one request, including those that the endpoint declined.
+  static constexpr auto kMaxSends = 4U;
+
   /// What an attempt means for the request.
   enum class execution_outcome
   {
@@ -90,6 +94,8 @@
   /// One sending of the request to an endpoint.
   struct attempt
   {
+    /// Identifies the attempt in the endpoint_table.
+    exchange_id mId;
     endpoint_table::choice mEndpoint;
     time_point mStarted;
     /// Events of the stream that this attempt delivered.
@@ -98,6 +104,10 @@
     boost::system::error_code mReadError;
   };
 
+  /// Two attempts at the request at the same time, of which the first to answer is forwarded. Until
+  /// the second one is sent, it waits for its time.
+  struct hedged_attempts;
+
   auto Admit() -> boost::asio::awaitable<bool>;
   auto Run() -> boost::asio::awaitable<void>;
   /// Returns when no time is left.
@@ -109,6 +119,35 @@
   /// Makes one attempt. aExpected is the expected time until the first event, or until the response
   /// for services that are not models; the timeout of the stall timer is derived from it.
   auto SendOnce(attempt& aAttempt, duration aExpected) -> boost::asio::awaitable<execution_outcome>;
+  /// Makes one attempt, and a second one at another endpoint if the answer is late. On failure of
+  /// both, aFirst becomes the one that failed last.
+  auto SendHedged(attempt& aFirst, duration aExpected, duration aDelay)
+    -> boost::asio::awaitable<execution_outcome>;
+  /// Makes one of two attempts; it is cancelled as soon as the other one has answered.
+  auto RunHedgedAttempt(hedged_attempts& aAttempts, std::size_t aIndex, duration aExpected)
+    -> boost::asio::awaitable<void>;
+  /// Waits until the request may be hedged, and makes the second attempt then.
+  auto RunHedge(hedged_attempts& aAttempts, duration aDelay) -> boost::asio::awaitable<void>;
+  /// Chooses the endpoint of the second attempt, and takes the retry for it. Empty if none may be
+  /// sent now.
+  [[nodiscard]] auto TakeHedge(const hedged_attempts& aAttempts, time_point aNow)
+    -> std::optional<endpoint_table::choice>;
+  /// Time after which the next attempt may be hedged; empty if it may not.
+  [[nodiscard]] auto HedgeDelay() const -> std::optional<duration>;
+  /// Whether another attempt has answered first.
+  [[nodiscard]] auto IsOvertaken(const attempt& aAttempt) const -> bool;
+  /// Whether another attempt at the request may still answer.
+  [[nodiscard]] auto HasRival(const attempt& aAttempt) const -> bool;
+  /// Makes the attempt the one whose answer is forwarded and cancels the other one. False if the
+  /// other one has answered first.
+  [[nodiscard]] auto ClaimAnswer(const attempt& aAttempt) -> bool;
+  /// Records the result of the second attempt, unless none was sent or its result is known.
+  auto SettleHedge(hedge_result aResult) -> void;
+  /// Passes the time of an answer, or a first event, on to the hedge_policy.
+  auto RecordAnswerTime(const attempt& aAttempt, time_point aNow) -> void;
+  /// Passes on that the service had no free slot for the request, if that is so.
+  auto RecordShortage(const dispatch_decision& aDecision, duration aWaited) -> void;
+  [[nodiscard]] auto HedgeClass() const -> hedge_class;
   /// The part of SendOnce that follows the connection's establishment.
   auto Transfer(endpoint_call& aCall,
                 attempt& aAttempt,
@@ -122,14 +161,16 @@
   /// Precondition: aDecision names an endpoint.
   auto LogDispatch(const dispatch_decision& aDecision) -> void;
   auto LogFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void;
-  auto RelayBuffered(endpoint_call& aCall, attempt_result& aResult)
+  /// Records a failed attempt, and that its endpoint was tried.
+  auto RecordFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void;
+  auto RelayBuffered(endpoint_call& aCall, const attempt& aAttempt, attempt_result& aResult)
     -> boost::asio::awaitable<execution_outcome>;
-  auto RelayStream(endpoint_call& aCall, attempt_result& aResult)
+  auto RelayStream(endpoint_call& aCall, const attempt& aAttempt, attempt_result& aResult)
     -> boost::asio::awaitable<execution_outcome>;
   /// Calls OnStall unless it is armed again or the attempt ends within aTimeout.
-  auto ArmStallTimer(endpoint_call& aCall, duration aTimeout) -> void;
+  auto ArmStallTimer(endpoint_call& aCall, const attempt& aAttempt, duration aTimeout) -> void;
   /// Reports a stall of the endpoint, and aborts the attempt if the request can be retried now.
-  auto OnStall(endpoint_call& aCall) -> void;
+  auto OnStall(endpoint_call& aCall, const attempt& aAttempt) -> void;
   /// Whether the request would be sent to an endpoint that has not been tried now, and end in time.
   [[nodiscard]] auto CanBeSentElsewhere(time_point aNow) const -> bool;
   /// Whether the request is expected to end in time at an endpoint that has not been tried, even if
@@ -221,6 +262,10 @@
   /// All attempts, including those that were not executed.
   std::uint32_t mSends = 0;
   std::string mLastEndpoint;
+  /// The attempts that are being made, if the request may be hedged.
+  hedged_attempts* mHedgedAttempts = nullptr;
+  bool mIsHedged = false;
+  std::optional<hedge_result> mHedgeResult;
   std::optional<time_point> mFirstSent;
   std::optional<time_point> mFirstEvent;
   std::optional<time_point> mLastEvent;
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -90,6 +90,7 @@
 auto exchange::Finish(exchange_end aEnd, unsigned aStatus, std::string_view aReason) -> void
 {
   mIsFinished = true;
+  SettleHedge(hedge_result::Abandoned);
   const auto now = ReadBootClock();
   const auto end = kExchangeEndNames.NameOf(aEnd);
   auto line = boost::json::object{ { "request", mMetadata.mId },
@@ -119,6 +120,9 @@
     line["sends"] = mSends;
     line["events"] = mEvents.EventCount();
   }
+  if (mHedgeResult) {
+    line["hedge"] = kHedgeResultNames.NameOf(*mHedgeResult);
+  }
   if (aEnd == exchange_end::Refused || aEnd == exchange_end::Failed) {
     AddDecisionInputs(line);
   }
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -8,6 +8,7 @@
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
+#include <bronzering/dispatch/hedge_policy.h>
 #include <bronzering/dispatch/peer_table.h>
 #include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
@@ -51,6 +52,7 @@
     , mDispatchWaiter(aContext, mEndpoints)
     , mConnections(aContext)
     , mRateLimiter(mSettings.mQuotaTolerance)
+    , mHedges(mSettings.mHedgePercent)
     , mPeers(mSettings.mAddress, HashZone(mSettings.mAvailabilityZone))
     , mQuarantine(TrialDelay(mSettings.mAddress))
     , mCrashMonitor(aContext, mQuarantine, aLog, aMetrics)
@@ -93,6 +95,7 @@
   fleet_rate_limiter mRateLimiter;
   /// Retry budgets by service.
   std::map<std::string, fleet_retry_budget, std::less<>> mRetryBudgets;
+  hedge_policy mHedges;
   peer_table mPeers;
   configuration_lag mConfigurationLag;
   prompt_quarantine mQuarantine;
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -197,10 +197,12 @@
 gateway_fixture::gateway_fixture(std::string aAddress,
                                  std::vector<std::string> aSeeds,
                                  std::optional<item_decoder> aDecoder,
-                                 duration aStopGrace)
+                                 duration aStopGrace,
+                                 double aHedgePercent)
   : mAddress(std::move(aAddress))
   , mDecoder(std::move(aDecoder))
   , mStopGrace(aStopGrace)
+  , mHedgePercent(aHedgePercent)
 {
   mLog = std::make_unique<event_log>("test", mMetrics);
   // Another process may take a port before it is bound here.
@@ -233,6 +235,7 @@
   settings.mOperatorPort = sPeerPort;
   settings.mSeeds = aSeeds;
   settings.mStopGrace = mStopGrace;
+  settings.mHedgePercent = mHedgePercent;
   settings.mSourceBounds = { std::chrono::milliseconds(1'200), std::chrono::milliseconds(2'000) };
   mGateway = std::make_unique<entry_gateway>(*mContext,
                                              std::move(settings),
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -98,7 +98,8 @@
   explicit gateway_fixture(std::string aAddress = "127.0.0.1",
                            std::vector<std::string> aSeeds = {},
                            std::optional<item_decoder> aDecoder = {},
-                           duration aStopGrace = std::chrono::seconds(30));
+                           duration aStopGrace = std::chrono::seconds(30),
+                           double aHedgePercent = 0);
 
   /// Publishes a document and endpoints with a new revision.
   auto Publish(routing_document aDocument, std::vector<listed_endpoint> aEndpoints) -> void;
@@ -130,6 +131,7 @@
   std::string mAddress;
   std::optional<item_decoder> mDecoder;
   duration mStopGrace;
+  double mHedgePercent;
   std::uint16_t mCallerPort = 0;
   std::uint16_t mReadyPort = 0;
   std::shared_ptr<published> mPublished = std::make_shared<published>();
