Swap the events of the winning stream in

clang-tidy takes the moved event_splitter in RelayStream for one that is used again in a later turn of the loop, which the flag prevents. A swap needs no such reasoning. Measured: scripts/lint passes on the file, and the gateway tests passed three times (67 cases).

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -12,6 +12,7 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzering {
 
@@ -514,7 +515,7 @@
         aResult = attempt_result::Abandoned;
         co_return execution_outcome::MayHaveExecuted;
       }
-      mEvents = std::move(ownEvents);
+      std::swap(mEvents, ownEvents);
       isClaimed = true;
     }
     if (part.mEvents > 0) {
