--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -30,6 +31,8 @@
   time_point mDeadline;
   /// Endpoints that were already tried for this request.
   std::vector<std::string> mExcluded;
+  /// Only a free slot will do, whatever the service and the rank.
+  bool mNeedsFreeSlot = false;
 };
 
 struct dispatch_decision
@@ -82,6 +85,8 @@
   /// before it; empty if none is in sight.
   [[nodiscard]] auto TimeToPlace(const dispatch_ticket& aTicket, time_point aNow) const
     -> std::optional<duration>;
+  /// Whether a request waits for the service.
+  [[nodiscard]] auto HasWaiting(std::string_view aService) const -> bool;
   [[nodiscard]] auto empty() const -> bool { return mTickets.empty(); }
   [[nodiscard]] auto size() const -> std::size_t { return mTickets.size(); }
 
