Bound the memory that is held for callers as a whole

Clients outside the limits ended a process: each connection collected a body of up to the limit in a string that doubles, the body was copied for each sending, answers were collected and copied for callers that never read them, and the metrics and readiness servers took any number of connections.

A body is held once and sent as a view. The two servers take 64 connections each and close the oldest.

--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -16,6 +16,7 @@
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
 #include <bronzering/dispatch/hedge_policy.h>
+#include <bronzering/dispatch/memory_budget.h>
 #include <bronzering/dispatch/peer_digest.h>
 #include <bronzering/dispatch/peer_table.h>
 #include <bronzering/dispatch/place_plan.h>
--- a/packages/gateway/include/bronzering/gateway/gateway_settings.h
+++ b/packages/gateway/include/bronzering/gateway/gateway_settings.h
@@ -39,6 +39,8 @@
   /// Time from the stop request until the process must have ended.
   duration mStopGrace = std::chrono::seconds(8);
   std::size_t mMaxConnections = 3'000;
+  /// Memory that the process may use, in bytes; 0 means that it is not limited.
+  std::size_t mMemoryBytes = 0;
   std::uint64_t mSeed = 0;
 };
 
--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -76,7 +76,7 @@
   co_return true;
 }
 
-auto endpoint_call::Send(const http_request& aRequest) -> boost::asio::awaitable<bool>
+auto endpoint_call::Send(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>
 {
   using namespace boost::asio::experimental::awaitable_operators;
   assert(mSocket);
@@ -86,13 +86,13 @@
   co_return hasHead;
 }
 
-auto endpoint_call::Write(const http_request& aRequest) -> boost::asio::awaitable<bool>
+auto endpoint_call::Write(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>
 {
   auto [error, written] = co_await http::async_write(*mSocket, aRequest, kUseTuple);
   co_return !error;
 }
 
-auto endpoint_call::ReadHead(const http_request& aRequest) -> boost::asio::awaitable<bool>
+auto endpoint_call::ReadHead(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>
 {
   const auto expected = aRequest[mRequestId];
   for (auto skipped = 0; skipped <= kMaxSkippedResponses; ++skipped) {
--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -10,6 +10,7 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
@@ -23,6 +24,8 @@
 namespace bronzering {
 
 using http_request = boost::beast::http::request<boost::beast::http::string_body>;
+/// A request as it is sent to an endpoint; its body is a view of the caller's request.
+using forwarded_request = boost::beast::http::request<boost::beast::http::span_body<const char>>;
 using http_fields = boost::beast::http::fields;
 
 /// Sends one request to one endpoint and reads the response incrementally. The connection returns
@@ -47,7 +50,7 @@
     -> boost::asio::awaitable<bool>;
   /// Sends the request and reads the response header. Responses to other requests are skipped.
   /// False when there is no response. Precondition: Open returned true.
-  auto Send(const http_request& aRequest) -> boost::asio::awaitable<bool>;
+  auto Send(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
   /// The next bytes of the body: an empty string at its end, no value when the response broke off.
   auto ReadSome() -> boost::asio::awaitable<std::optional<std::string>>;
 
@@ -60,6 +63,12 @@
   /// Precondition: Send returned true.
   [[nodiscard]] auto Status() const -> unsigned { return mParser->get().result_int(); }
   [[nodiscard]] auto Fields() const -> const http_fields& { return mParser->get().base(); }
+  /// Length of the body, if the response names one.
+  [[nodiscard]] auto ContentLength() const -> std::optional<std::uint64_t>
+  {
+    const auto length = mParser->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+  }
   /// Whether the response has neither a length nor chunks, so that it ends with its connection.
   [[nodiscard]] auto EndsWithConnection() const -> bool { return mParser->need_eof(); }
   /// Records that the response is incomplete although its framing does not show it.
@@ -72,9 +81,9 @@
   static constexpr auto kMaxInputBytes = std::size_t{ 64 } * 1024;
   using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  auto ReadHead(const http_request& aRequest) -> boost::asio::awaitable<bool>;
+  auto ReadHead(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
   auto SkipBody() -> boost::asio::awaitable<bool>;
-  auto Write(const http_request& aRequest) -> boost::asio::awaitable<bool>;
+  auto Write(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
   auto Release() -> void;
   auto DisarmStallTimer() -> void;
 
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -187,6 +187,7 @@
       .Set(static_cast<std::int64_t>(mShared.mEndpoints.ColdLimits().ColdCount(now)));
     metrics.Gauge("bronzering_suspected_prompt_parts")
       .Set(static_cast<std::int64_t>(mShared.mQuarantine.SuspectCount(now)));
+    metrics.Gauge("bronzering_held_bytes").Set(static_cast<std::int64_t>(mShared.mMemory.Held()));
     metrics.Gauge("bronzering_caller_connections").Set(static_cast<std::int64_t>(mSessions.size()));
     metrics.Gauge("bronzering_requests_waiting")
       .Set(static_cast<std::int64_t>(mShared.mDispatchWaiter.WaitingCount()));
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -49,13 +49,18 @@
 /// end, and several such answers have to fit into the entry's memory.
 constexpr auto kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
 constexpr auto kMaxEventBytes = std::size_t{ 1 } * 1024 * 1024;
+/// How often an answer for which there is no memory is looked at again.
+constexpr auto kMemoryRecheck = std::chrono::milliseconds(50);
 /// Reasons in answers and logs.
 constexpr auto kStoppingReason = std::string_view("shutting down");
 constexpr auto kNoEndpointReason = std::string_view("no endpoint can answer in time");
 
 } // namespace
 
-exchange::exchange(gateway_state& aState, http_request aRequest, response_writer& aWriter)
+exchange::exchange(gateway_state& aState,
+                   http_request aRequest,
+                   memory_reservation aBody,
+                   response_writer& aWriter)
   : mState(aState)
   , mResponseWriter(aWriter)
   , mId{ ++aState.mExchangeCount }
@@ -63,6 +68,7 @@
   , mRoutes(aState.mRoutes)
   , mMetadata(ReadRequestMetadata(aRequest, aState.mHeaderNames))
   , mRequest(std::move(aRequest))
+  , mBodyMemory(std::move(aBody))
   , mDeadline(mArrived)
   , mExpiry(aState.mContext)
 {
@@ -360,6 +366,9 @@
     aResult = attempt_result::Declined;
     co_return execution_outcome::NotExecuted;
   }
+  if (mRoute->mRetryPolicy == retry_policy::Once) {
+    ReleaseBody();
+  }
   const auto isSuccess = aCall.Status() >= 200 && aCall.Status() < 300;
   if (isSuccess && aCall.Fields()[mState.mHeaderNames.mResponseSeal].empty()) {
     aResult = attempt_result::Failed;
@@ -438,9 +447,20 @@
 auto exchange::RelayBuffered(endpoint_call& aCall, const attempt& aAttempt, attempt_result& aResult)
   -> boost::asio::awaitable<execution_outcome>
 {
+  auto held = memory_reservation(mState.mMemory);
   auto body = std::string();
+  const auto length = std::min<std::uint64_t>(aCall.ContentLength().value_or(0), kMaxAnswerBytes);
+  if (length > 0) {
+    co_await ReserveAnswer(held, length);
+    body.reserve(length);
+  }
   for (;;) {
     const auto part = co_await aCall.ReadSome();
+    if (part && body.size() + part->size() > held.Bytes()) {
+      const auto larger = std::max(body.size() + part->size(), 2 * held.Bytes());
+      co_await ReserveAnswer(held, larger);
+      body.reserve(larger);
+    }
     if (!part || body.size() > kMaxAnswerBytes) {
       aResult = attempt_result::Failed;
       co_return execution_outcome::MayHaveExecuted;
@@ -748,10 +768,31 @@
   return mState.mRetryBudgets[mService].TryTake(mState.mPeers.MemberCount(), ReadBootClock());
 }
 
-auto exchange::ComposeRequest(const std::string& aEndpoint) const -> http_request
+auto exchange::ReleaseBody() -> void
+{
+  mRequest.body() = std::string();
+  mBodyMemory.Release();
+}
+
+auto exchange::ReserveAnswer(memory_reservation& aHeld, std::size_t aBytes)
+  -> boost::asio::awaitable<void>
+{
+  if (aHeld.TryResize(aBytes)) {
+    co_return;
+  }
+  // The endpoint is not read meanwhile. The wait ends with the request at the latest.
+  auto timer = boost::asio::steady_timer(mState.mContext);
+  while (!aHeld.TryResize(aBytes)) {
+    timer.expires_after(kMemoryRecheck);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+}
+
+auto exchange::ComposeRequest(const std::string& aEndpoint) const -> forwarded_request
 {
   const auto& headers = mState.mHeaderNames;
-  auto request = mRequest;
+  auto request = forwarded_request(mRequest.base());
+  request.body() = { mRequest.body().data(), mRequest.body().size() };
   const auto left = std::chrono::floor<std::chrono::milliseconds>(TimeLeft(ReadBootClock()));
   request.set(headers.mDeadline, std::to_string(left.count()));
   request.set(headers.mExpectedEndpoint, aEndpoint);
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -55,7 +55,11 @@
 class exchange
 {
 public:
-  exchange(gateway_state& aState, http_request aRequest, response_writer& aWriter);
+  /// aBody is the memory that the request's body takes.
+  exchange(gateway_state& aState,
+           http_request aRequest,
+           memory_reservation aBody,
+           response_writer& aWriter);
   ~exchange();
   exchange(const exchange&) = delete;
   auto operator=(const exchange&) -> exchange& = delete;
@@ -209,11 +213,15 @@
   [[nodiscard]] auto TimeLeft(time_point aNow) const -> duration;
   /// When the caller leaves if no further event arrives.
   [[nodiscard]] auto FirstEventBy() const -> time_point;
+  /// Frees the body of a request that cannot be sent again.
+  auto ReleaseBody() -> void;
+  /// Waits until the process has memory for an answer of aBytes.
+  auto ReserveAnswer(memory_reservation& aHeld, std::size_t aBytes) -> boost::asio::awaitable<void>;
   /// Whether the route allows another attempt.
   [[nodiscard]] auto MayRetry() const -> bool;
   /// Takes one retry from the service's budget. False when the budget is exhausted.
   [[nodiscard]] auto TakeRetry() -> bool;
-  [[nodiscard]] auto ComposeRequest(const std::string& aEndpoint) const -> http_request;
+  [[nodiscard]] auto ComposeRequest(const std::string& aEndpoint) const -> forwarded_request;
   /// The request as it is queued until an endpoint is chosen.
   [[nodiscard]] auto Ticket() const -> dispatch_ticket;
   /// The same without the endpoint that the request is at now.
@@ -231,6 +239,7 @@
   std::shared_ptr<const route_table> mRoutes;
   request_metadata mMetadata;
   http_request mRequest;
+  memory_reservation mBodyMemory;
   const route_spec* mRoute = nullptr;
   const organisation_spec* mOrganisation = nullptr;
   std::string mService;
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -9,6 +9,7 @@
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/fleet_retry_budget.h>
 #include <bronzering/dispatch/hedge_policy.h>
+#include <bronzering/dispatch/memory_budget.h>
 #include <bronzering/dispatch/peer_table.h>
 #include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
@@ -32,6 +33,23 @@
 
 namespace bronzering {
 
+/// Bytes that may be held for callers: what is left of the memory for the process itself and for
+/// its connections. 0 means no limit.
+[[nodiscard]] inline auto CallerMemory(const gateway_settings& aSettings) -> std::size_t
+{
+  constexpr auto kUsableShare = 0.9;
+  constexpr auto kProcessBytes = std::size_t{ 16 } * 1024 * 1024;
+  constexpr auto kConnectionBytes = std::size_t{ 6 } * 1024;
+  constexpr auto kLeast = std::size_t{ 8 } * 1024 * 1024;
+  if (aSettings.mMemoryBytes == 0) {
+    return 0;
+  }
+  const auto usable =
+    static_cast<std::size_t>(kUsableShare * static_cast<double>(aSettings.mMemoryBytes));
+  const auto needed = kProcessBytes + aSettings.mMaxConnections * kConnectionBytes;
+  return usable > needed + kLeast ? usable - needed : kLeast;
+}
+
 /// State shared by the components of one entry_gateway. Owned by the gateway; control thread only.
 struct gateway_state
 {
@@ -53,6 +71,7 @@
     , mConnections(aContext)
     , mRateLimiter(mSettings.mQuotaTolerance)
     , mHedges(mSettings.mHedgePercent)
+    , mMemory(CallerMemory(mSettings))
     , mPeers(mSettings.mAddress, HashZone(mSettings.mAvailabilityZone))
     , mQuarantine(TrialDelay(mSettings.mAddress))
     , mCrashMonitor(aContext, mQuarantine, aLog, aMetrics)
@@ -96,6 +115,9 @@
   /// Retry budgets by service.
   std::map<std::string, fleet_retry_budget, std::less<>> mRetryBudgets;
   hedge_policy mHedges;
+  memory_budget mMemory;
+  /// When a rejected request was last logged, by status.
+  std::map<unsigned, time_point> mLastRejectionLog;
   peer_table mPeers;
   configuration_lag mConfigurationLag;
   prompt_quarantine mQuarantine;
--- a/packages/gateway/src/http_get_server.cpp
+++ b/packages/gateway/src/http_get_server.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <deque>
+
 namespace bronzering {
 
 namespace http = boost::beast::http;
@@ -21,8 +23,12 @@
 constexpr auto kIdleTimeout = duration(std::chrono::seconds(30));
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(100);
 constexpr auto kBacklog = 1024;
+/// Connections at a time. Metrics are read by a few programs, and a peer closes its connection
+/// after each fetch. Beyond it the oldest is closed, so that silent clients cannot shut out the
+/// others.
+constexpr auto kMaxConnections = std::size_t{ 64 };
 
-auto ServeConnection(boost::asio::ip::tcp::socket aSocket,
+auto ServeConnection(std::shared_ptr<boost::asio::ip::tcp::socket> aSocket,
                      std::shared_ptr<http_get_server::handler> aHandler)
   -> boost::asio::awaitable<void>
 {
@@ -30,7 +36,7 @@
   for (;;) {
     auto request = http::request<http::empty_body>();
     auto read =
-      co_await WithTimeout(http::async_read(aSocket, buffer, request, kUseTuple), kIdleTimeout);
+      co_await WithTimeout(http::async_read(*aSocket, buffer, request, kUseTuple), kIdleTimeout);
     if (!read || std::get<0>(*read)) {
       co_return;
     }
@@ -41,7 +47,7 @@
     response.keep_alive(request.keep_alive());
     response.prepare_payload();
     auto written =
-      co_await WithTimeout(http::async_write(aSocket, response, kUseTuple), kIdleTimeout);
+      co_await WithTimeout(http::async_write(*aSocket, response, kUseTuple), kIdleTimeout);
     if (!written || std::get<0>(*written) || !response.keep_alive()) {
       co_return;
     }
@@ -53,12 +59,22 @@
   -> boost::asio::awaitable<void>
 {
   const auto executor = co_await boost::asio::this_coro::executor;
+  auto open = std::deque<std::weak_ptr<boost::asio::ip::tcp::socket>>();
   while (aAcceptor.is_open()) {
     auto [error, socket] = co_await aAcceptor.async_accept(kUseTuple);
     if (!error) {
       ConfigureSocket(socket);
+      std::erase_if(open, [](const auto& aOpen) { return aOpen.expired(); });
+      if (open.size() >= kMaxConnections) {
+        if (const auto oldest = open.front().lock()) {
+          AbortSocket(*oldest);
+        }
+        open.pop_front();
+      }
+      auto accepted = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket));
+      open.push_back(accepted);
       boost::asio::co_spawn(
-        executor, ServeConnection(std::move(socket), aHandler), boost::asio::detached);
+        executor, ServeConnection(std::move(accepted), aHandler), boost::asio::detached);
     } else if (aAcceptor.is_open()) {
       auto pause = boost::asio::steady_timer(executor);
       pause.expires_after(kAcceptRetryDelay);
--- a/packages/gateway/src/response_writer.cpp
+++ b/packages/gateway/src/response_writer.cpp
@@ -10,6 +10,8 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <array>
+
 namespace bronzering {
 
 namespace http = boost::beast::http;
@@ -52,9 +54,8 @@
 {
   auto text = FormatHeader(aStatus, aFields);
   text += fmt::format("Content-Length: {}\r\n\r\n", aBody.size());
-  text += aBody;
   mHasStarted = true;
-  const auto isWritten = co_await Write(std::move(text));
+  const auto isWritten = co_await Write(std::move(text), aBody);
   mIsComplete = isWritten;
   co_return isWritten;
 }
@@ -108,10 +109,13 @@
   return text;
 }
 
-auto response_writer::Write(std::string aBytes) -> boost::asio::awaitable<bool>
+auto response_writer::Write(std::string aBytes, std::string_view aBody)
+  -> boost::asio::awaitable<bool>
 {
+  const auto buffers = std::array{ boost::asio::const_buffer(aBytes.data(), aBytes.size()),
+                                   boost::asio::const_buffer(aBody.data(), aBody.size()) };
   auto [error, written] = co_await boost::asio::async_write(
-    mSocket, boost::asio::buffer(aBytes), boost::asio::as_tuple(boost::asio::use_awaitable));
+    mSocket, buffers, boost::asio::as_tuple(boost::asio::use_awaitable));
   co_return !error;
 }
 
--- a/packages/gateway/src/response_writer.h
+++ b/packages/gateway/src/response_writer.h
@@ -43,7 +43,8 @@
 private:
   [[nodiscard]] auto FormatHeader(unsigned aStatus, const boost::beast::http::fields& aFields) const
     -> std::string;
-  auto Write(std::string aBytes) -> boost::asio::awaitable<bool>;
+  /// Writes aBytes and then aBody, which must outlive the call.
+  auto Write(std::string aBytes, std::string_view aBody = {}) -> boost::asio::awaitable<bool>;
   [[nodiscard]] auto EncodeBodyPart(std::string_view aBytes) const -> std::string;
 
   boost::asio::ip::tcp::socket& mSocket;
--- a/packages/gateway/tests/endpoint_call_test.cpp
+++ b/packages/gateway/tests/endpoint_call_test.cpp
@@ -53,7 +53,7 @@
     REQUIRE(isOpen);
     auto request = http_request(boost::beast::http::verb::get, "/", 11);
     request.set("Request-Id", "r1");
-    const auto hasHead = co_await call.Send(request);
+    const auto hasHead = co_await call.Send(forwarded_request(request.base()));
     REQUIRE(hasHead);
     call.ArmStallTimer(kStallTimeout, [&] { hasFired = true; });
     const auto body = co_await call.ReadSome();
