--- a/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
+++ b/packages/dispatch/include/bronzering/dispatch/dispatch_queue.h
@@ -4,11 +4,13 @@
 #include <bronzering/base/time.h>
 #include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/endpoint_table.h>
+#include <bronzering/dispatch/place_plan.h>
 
 #include <compare>
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -29,6 +31,8 @@
   time_point mDeadline;
   /// Endpoints that were already tried for this request.
   std::vector<std::string> mExcluded;
+  /// Only a free slot will do, whatever the service and the rank.
+  bool mNeedsFreeSlot = false;
 };
 
 struct dispatch_decision
@@ -81,6 +85,8 @@
   /// before it; empty if none is in sight.
   [[nodiscard]] auto TimeToPlace(const dispatch_ticket& aTicket, time_point aNow) const
     -> std::optional<duration>;
+  /// Whether a request waits for the service.
+  [[nodiscard]] auto HasWaiting(std::string_view aService) const -> bool;
   [[nodiscard]] auto empty() const -> bool { return mTickets.empty(); }
   [[nodiscard]] auto size() const -> std::size_t { return mTickets.size(); }
 
@@ -108,8 +114,17 @@
     place_outlook mQueuePositions;
     /// Requests that keep waiting, before the one that is looked at.
     std::size_t mWaiting = 0;
-    std::optional<double> mPlaceRate;
+    std::optional<std::vector<endpoint_forecast>> mForecasts;
+    /// Made from mForecasts, by the endpoints that are excluded.
+    std::map<std::vector<std::string>, place_plan> mPlans;
+    /// Rank of the last request without excluded endpoints, how many more urgent ones arrive, and
+    /// how far its plan was used.
+    std::optional<request_rank> mRank;
+    double mMoreUrgentRate = 0;
+    std::size_t mPlanned = 0;
 
+    /// A request was sent, so the forecasts no longer hold.
+    auto DropPlans() -> void;
     [[nodiscard]] auto PlacesOf(slot_requirement aRequirement) -> place_outlook&
     {
       return aRequirement == slot_requirement::FreeSlot ? mFreeSlots : mQueuePositions;
