--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -147,7 +147,7 @@
 // Each adopted configuration renewed the retry budgets, so a series of them lifted the limit.
 TEST_CASE("a new document does not renew the retry budgets", "[entry_gateway]")
 {
-  constexpr auto kRequests = 40U;
+  constexpr auto kRequests = std::size_t{ 40 };
   auto fixture = gateway_fixture();
   const auto fail = [](const http_request& aRequest) {
     const auto id = aRequest["Request-Id"];
