--- /dev/null
+++ b/packages/gateway/tests/silent_endpoint_test.cpp
@@ -0,0 +1,81 @@
+#include "gateway_harness.h"
+
+#include <catch2/catch.hpp>
+
+using namespace bronzering;
+using namespace std::chrono_literals;
+using ending = scripted_endpoint::ending;
+using reaction = scripted_endpoint::reaction;
+using boost::asio::awaitable;
+
+namespace {
+
+constexpr auto kWholeStream =
+  std::string_view("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+                   "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n");
+
+/// The events from aFirst to aLast and the end of the response, without a header.
+auto LastEvents(const http_request& aRequest, int aFirst, int aLast) -> std::string
+{
+  auto text = Events(aRequest, aFirst, aLast) + "0\r\n\r\n";
+  text.erase(0, text.find("\r\n\r\n") + 4);
+  return text;
+}
+
+/// Six events with aSilence in the middle.
+auto PausingStream(const http_request& aRequest, std::chrono::milliseconds aSilence) -> reaction
+{
+  return { Events(aRequest, 1, 3), ending::Keep, LastEvents(aRequest, 4, 6), aSilence };
+}
+
+auto Decline(const http_request& aRequest) -> reaction
+{
+  const auto id = std::string(aRequest["Request-Id"]);
+  return { "HTTP/1.1 503 Busy\r\nRequest-Id: " + id +
+             "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+           ending::Keep };
+}
+
+} // namespace
+
+// The entry gave up an answer in the making, and the endpoint that it chose instead did not take the
+// request.
+TEST_CASE("an answer is not lost when no other endpoint takes over from a silent one",
+          "[silent_endpoint]")
+{
+  auto fixture = gateway_fixture();
+  auto path = std::string("/resume/x");
+  auto body = std::string(kWholeStream);
+  auto runs = 0;
+  auto onTakeover = reaction{ "", ending::Close };
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    if (++runs > 1) {
+      return onTakeover.mText.empty() ? onTakeover : Decline(aRequest);
+    }
+    return path == "/resume/x"
+             ? PausingStream(aRequest, 1'300ms)
+             : reaction{ "", ending::Keep, SealedAnswer(aRequest, "slow"), 1'300ms };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", script);
+  auto second = scripted_endpoint(fixture.Context(), "e2", script);
+  SECTION("a stream, and the other endpoint is full")
+  {
+    onTakeover.mText = "declines";
+  }
+  SECTION("a stream, and the other endpoint breaks off") {}
+  SECTION("an answer as a whole, and the other endpoint is full")
+  {
+    path = "/again/x";
+    body = "slow";
+    onTakeover.mText = "declines";
+  }
+  fixture.Publish(TestDocument(), { first.Listed(), second.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto text = RequestText(path);
+    const auto answer = co_await fixture.Ask(std::move(text));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+    CHECK(answer->mBody == body);
+    CHECK(runs == 2);
+  });
+}
