Rest the stall timer while an answer waits for its caller

Callers whose connection stopped taking bytes for a second had their stream given up and resumed at another endpoint, which cost a retry and counted against the first endpoint.

Cause: the stall timer ran from one read of the endpoint to the next, and so through the writes to the caller in between. The same held while a buffered answer waited for memory. The timer now runs only while the entry reads from the endpoint.

--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -57,6 +57,8 @@
   /// Calls aAction once after aTimeout, unless it is armed again or the request
   /// ends before.
   auto ArmStallTimer(duration aTimeout, std::function<void()> aAction) -> void;
+  /// Stops the stall timer until it is armed again.
+  auto DisarmStallTimer() -> void;
   /// Resets the connection; reads in progress fail.
   auto Abort() -> void;
 
@@ -85,7 +87,6 @@
   auto SkipBody() -> boost::asio::awaitable<bool>;
   auto Write(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
   auto Release() -> void;
-  auto DisarmStallTimer() -> void;
 
   endpoint_connection_pool& mConnections;
   std::string mEndpoint;
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -450,15 +450,22 @@
   auto held = memory_reservation(mState.mMemory);
   auto body = std::string();
   const auto length = std::min<std::uint64_t>(aCall.ContentLength().value_or(0), kMaxAnswerBytes);
+  const auto reserve = [&](std::size_t aBytes) -> boost::asio::awaitable<void> {
+    if (!held.TryResize(aBytes)) {
+      aCall.DisarmStallTimer();
+      co_await AwaitMemory(held, aBytes);
+      ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
+    }
+  };
   if (length > 0) {
-    co_await ReserveAnswer(held, length);
+    co_await reserve(length);
     body.reserve(length);
   }
   for (;;) {
     const auto part = co_await aCall.ReadSome();
     if (part && body.size() + part->size() > held.Bytes()) {
       const auto larger = std::max(body.size() + part->size(), 2 * held.Bytes());
-      co_await ReserveAnswer(held, larger);
+      co_await reserve(larger);
       body.reserve(larger);
     }
     if (!part || body.size() > kMaxAnswerBytes) {
@@ -515,12 +522,13 @@
   auto isAnswering = false;
   for (;;) {
     const auto bytes = co_await aCall.ReadSome();
+    // The endpoint is not silent while this entry waits for the caller to read.
+    aCall.DisarmStallTimer();
     if (!bytes) {
       aResult = attempt_result::Failed;
       co_return execution_outcome::MayHaveExecuted;
     }
     const auto now = ReadBootClock();
-    ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
     const auto part = (isClaimed ? mEvents : ownEvents).Add(*bytes);
     const auto partialSize = (isClaimed ? mEvents : ownEvents).PartialEvent().size();
     mState.mEndpoints.OnEvents(aAttempt.mId, part.mEvents, now);
@@ -581,6 +589,7 @@
       Finish(exchange_end::CallerGone, status, "caller closed the connection");
       co_return execution_outcome::Done;
     }
+    ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
   }
 }
 
@@ -774,12 +783,9 @@
   mBodyMemory.Release();
 }
 
-auto exchange::ReserveAnswer(memory_reservation& aHeld, std::size_t aBytes)
+auto exchange::AwaitMemory(memory_reservation& aHeld, std::size_t aBytes)
   -> boost::asio::awaitable<void>
 {
-  if (aHeld.TryResize(aBytes)) {
-    co_return;
-  }
   // The endpoint is not read meanwhile. The wait ends with the request at the latest.
   auto timer = boost::asio::steady_timer(mState.mContext);
   while (!aHeld.TryResize(aBytes)) {
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -216,7 +216,7 @@
   /// Frees the body of a request that cannot be sent again.
   auto ReleaseBody() -> void;
   /// Waits until the process has memory for an answer of aBytes.
-  auto ReserveAnswer(memory_reservation& aHeld, std::size_t aBytes) -> boost::asio::awaitable<void>;
+  auto AwaitMemory(memory_reservation& aHeld, std::size_t aBytes) -> boost::asio::awaitable<void>;
   /// Whether the route allows another attempt.
   [[nodiscard]] auto MayRetry() const -> bool;
   /// Takes one retry from the service's budget. False when the budget is exhausted.
--- a/packages/gateway/tests/silent_endpoint_test.cpp
+++ b/packages/gateway/tests/silent_endpoint_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <spdlog/fmt/fmt.h>
+
 using namespace bronzering;
 using namespace std::chrono_literals;
 using ending = scripted_endpoint::ending;
@@ -31,15 +33,14 @@
 auto Decline(const http_request& aRequest) -> reaction
 {
   const auto id = std::string(aRequest["Request-Id"]);
-  return { "HTTP/1.1 503 Busy\r\nRequest-Id: " + id +
-             "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+  return { "HTTP/1.1 503 Busy\r\nRequest-Id: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
            ending::Keep };
 }
 
 } // namespace
 
-// The entry gave up an answer in the making, and the endpoint that it chose instead did not take the
-// request.
+// The entry gave up an answer in the making, and the endpoint that it chose instead did not take
+// the request.
 TEST_CASE("an answer is not lost when no other endpoint takes over from a silent one",
           "[silent_endpoint]")
 {
@@ -79,3 +80,36 @@
     CHECK(runs == 2);
   });
 }
+
+// A caller that stopped reading for a second was taken for a silent endpoint, whose stream was then
+// given up.
+TEST_CASE("a caller that reads slowly is not taken for a silent endpoint", "[silent_endpoint]")
+{
+  constexpr auto kEvents = 7'000;
+  auto fixture = gateway_fixture();
+  auto runs = 0;
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    ++runs;
+    // More than the buffers of the sockets hold, in events of a kilobyte.
+    auto text = Events(aRequest, 1, 1);
+    const auto filler = std::string(1'000, 'x');
+    for (auto id = 2; id <= kEvents; ++id) {
+      const auto event = fmt::format("id: {}\ndata: {}\n\n", id, filler);
+      text += fmt::format("{:x}\r\n{}\r\n", event.size(), event);
+    }
+    return { text + "0\r\n\r\n", ending::Keep };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", script);
+  auto second = scripted_endpoint(fixture.Context(), "e2", script);
+  fixture.Publish(TestDocument(), { first.Listed(), second.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto caller = test_caller(fixture.Context());
+    co_await caller.Connect(fixture.CallerPort());
+    co_await caller.Send(RequestText("/resume/x"));
+    co_await Pause(1'500ms);
+    const auto answer = co_await caller.Read();
+    REQUIRE(answer);
+    CHECK(answer->mBody.find(fmt::format("id: {}\n", kEvents)) != std::string::npos);
+    CHECK(runs == 1);
+  });
+}
