Give no answer up before another endpoint goes on with it

Cause: an attempt whose endpoint was silent for a second was aborted as soon as another endpoint had a free slot. The request then went through the queue again, where more urgent ones could take that slot, an endpoint could decline it or be gone, and in a shutdown the time for another answer ran out.

Change: the second attempt is made beside the silent one, in a slot that is taken at once, by the code that makes hedges. Whichever sends the next event goes on alone and the other is cancelled; if the second one fails, the first still answers.

--- a/packages/dispatch/include/bronzering/dispatch/hedge_policy.h
+++ b/packages/dispatch/include/bronzering/dispatch/hedge_policy.h
@@ -38,9 +38,9 @@
                                 const token_work& aWork,
                                 bool aIsStream) -> hedge_class;
 
-/// What became of a hedge, the second attempt at a request that is still in progress. The names
-/// appear in logs and metrics.
-enum class hedge_result
+/// What became of a second attempt that was made beside the first one. The names appear in logs and
+/// metrics.
+enum class second_attempt_result
 {
   /// It answered first.
   Won,
@@ -51,11 +51,11 @@
   /// The caller left, or its time was over, before either answered.
   Abandoned
 };
-inline constexpr auto kHedgeResultNames =
-  name_table<hedge_result, 4>{ { { { hedge_result::Won, "won" },
-                                   { hedge_result::Lost, "lost" },
-                                   { hedge_result::Failed, "failed" },
-                                   { hedge_result::Abandoned, "abandoned" } } } };
+inline constexpr auto kSecondAttemptResultNames =
+  name_table<second_attempt_result, 4>{ { { { second_attempt_result::Won, "won" },
+                                            { second_attempt_result::Lost, "lost" },
+                                            { second_attempt_result::Failed, "failed" },
+                                            { second_attempt_result::Abandoned, "abandoned" } } } };
 
 /// Decides when a request in progress may be hedged. A hedge may be sent once the answer is later
 /// than a high percentile of the recent answers to such work, and if another endpoint is expected
@@ -118,7 +118,7 @@
 
   /// Records that a hedge is sent. Precondition: MayHedge.
   auto OnHedge(std::string_view aService, time_point aNow) -> void;
-  auto OnResult(std::string_view aService, hedge_result aResult) -> void;
+  auto OnResult(std::string_view aService, second_attempt_result aResult) -> void;
 
 private:
   struct service_state
--- a/packages/dispatch/src/hedge_policy.cpp
+++ b/packages/dispatch/src/hedge_policy.cpp
@@ -127,14 +127,14 @@
   service.mLastHedge = aNow;
 }
 
-auto hedge_policy::OnResult(std::string_view aService, hedge_result aResult) -> void
+auto hedge_policy::OnResult(std::string_view aService, second_attempt_result aResult) -> void
 {
   // A caller that leaves says nothing about the two attempts.
-  if (aResult == hedge_result::Abandoned) {
+  if (aResult == second_attempt_result::Abandoned) {
     return;
   }
   auto& share = StateOf(aService).mWinShare;
-  share += kResultWeight * ((aResult == hedge_result::Won ? 1 : 0) - share);
+  share += kResultWeight * ((aResult == second_attempt_result::Won ? 1 : 0) - share);
 }
 
 auto hedge_policy::HistogramOf(const hedge_class& aClass) -> answer_time_histogram&
--- a/packages/dispatch/tests/hedge_policy_test.cpp
+++ b/packages/dispatch/tests/hedge_policy_test.cpp
@@ -211,7 +211,8 @@
     }
     if (aRequest.mAttempts.size() > 1) {
       const auto isWon = aWinner.mId == aRequest.mAttempts[1].mId;
-      aEntry.mPolicy.OnResult("web", isWon ? hedge_result::Won : hedge_result::Lost);
+      aEntry.mPolicy.OnResult("web",
+                              isWon ? second_attempt_result::Won : second_attempt_result::Lost);
     }
   }
 
@@ -298,7 +299,7 @@
   auto policy = hedge_policy(50);
   auto now = time_point(1h);
   auto hedges = 0;
-  auto result = hedge_result::Lost;
+  auto result = second_attempt_result::Lost;
   const auto run = [&](int aSeconds) {
     hedges = 0;
     for (const auto end = now + std::chrono::seconds(aSeconds); now < end; now += 100ms) {
@@ -316,7 +317,7 @@
   run(100);
   CHECK(hedges <= 11);
   CHECK(hedges >= 9);
-  result = hedge_result::Won;
+  result = second_attempt_result::Won;
   run(100);
   run(100);
   CHECK(hedges > 100);
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -260,10 +260,9 @@
     }
     LogDispatch(decision);
     auto current = attempt{ mId, endpoint, ReadBootClock(), 0, {} };
-    const auto hedgeDelay = verdict.mIsTrial ? std::nullopt : HedgeDelay();
     auto outcome = execution_outcome::Done;
-    if (hedgeDelay) {
-      outcome = co_await SendHedged(current, decision.mExpected, *hedgeDelay);
+    if (MayAttemptTwice() && !verdict.mIsTrial) {
+      outcome = co_await SendParallel(current, decision.mExpected, HedgeDelay());
     } else {
       outcome = co_await SendOnce(current, decision.mExpected);
     }
@@ -277,8 +276,7 @@
     // A request that reached no endpoint caused no load, so its retry is not taken from the budget.
     const auto isRepeatable = outcome != execution_outcome::MayHaveExecuted || MayRetry();
     const auto isFree = outcome == execution_outcome::NotReached;
-    const auto isTaken = std::exchange(mIsRetryTaken, false);
-    if (!isRepeatable || mSends >= kMaxSends || !(isFree || isTaken || TakeRetry())) {
+    if (!isRepeatable || mSends >= kMaxSends || !(isFree || TakeRetry())) {
       if (mExecutions == 0) {
         const auto place = mState.mDispatchWaiter.Queue().TimeToPlace(Ticket(), ReadBootClock());
         co_await Refuse(503, "endpoints declined", place);
@@ -321,7 +319,7 @@
   const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
   const auto isCancelled = [&] {
     return IsOvertaken(aAttempt) ||
-           (mHedgedAttempts != nullptr &&
+           (mParallelAttempts != nullptr &&
             cancellation.cancelled() != boost::asio::cancellation_type::none);
   };
   if (!isOpen || isCancelled()) {
@@ -492,7 +490,7 @@
     co_return execution_outcome::MayHaveExecuted;
   }
   if (isError) {
-    SettleHedge(hedge_result::Failed);
+    SettleSecondAttempt(second_attempt_result::Failed);
   }
   if (!ClaimAnswer(aAttempt)) {
     co_return execution_outcome::MayHaveExecuted;
@@ -512,12 +510,10 @@
 {
   const auto head = aCall.Fields();
   const auto status = aCall.Status();
-  // While two attempts are made, each has its own events until it is the first to answer.
-  auto isClaimed = mHedgedAttempts == nullptr;
-  auto ownEvents = event_splitter();
-  if (isClaimed) {
-    mEvents.BeginAttempt();
-  }
+  // Where two attempts may be made, each has its own events until it is the first to answer.
+  auto isClaimed = mParallelAttempts == nullptr;
+  auto ownEvents = isClaimed ? event_splitter() : mEvents;
+  (isClaimed ? mEvents : ownEvents).BeginAttempt();
   auto attemptEvents = 0U;
   auto isAnswering = false;
   for (;;) {
@@ -538,13 +534,14 @@
     // A crash ends a response without a length like its regular end does.
     const auto isCutOff =
       bytes->empty() && (partialSize > 0 || (attemptEvents == 0 && aCall.EndsWithConnection()));
-    if (!isClaimed && (part.mEvents > 0 || (bytes->empty() && !isCutOff))) {
+    if (part.mEvents > 0 || (bytes->empty() && !isCutOff)) {
       if (!ClaimAnswer(aAttempt)) {
         aResult = attempt_result::Abandoned;
         co_return execution_outcome::MayHaveExecuted;
       }
-      std::swap(mEvents, ownEvents);
-      isClaimed = true;
+      if (!std::exchange(isClaimed, true)) {
+        std::swap(mEvents, ownEvents);
+      }
     }
     if (part.mEvents > 0) {
       if (mLastEvent) {
@@ -603,21 +600,15 @@
 {
   const auto now = ReadBootClock();
   mState.mEndpoints.OnStall(aAttempt.mId, now);
-  // The endpoint may only be slow, so its answer is given up only for a retry that can be made. A
-  // second attempt that is in progress takes the place of the retry.
-  const auto hasRival = HasRival(aAttempt);
-  const auto mayRetry = !hasRival && MayRetry() && mSends < kMaxSends;
-  mIsRetryTaken = mayRetry && CanBeSentElsewhere(now) && TakeRetry();
+  const auto isTakenOver = TakeOver(aAttempt, now);
   mState.mLog.Write(log_priority::Notable,
                     "endpoint_silent",
                     { { "request", mMetadata.mId },
                       { "endpoint", aAttempt.mEndpoint.mId },
                       { "events", mEvents.EventCount() },
-                      { "aborted", mIsRetryTaken } },
+                      { "taken_over", isTakenOver } },
                     now);
-  if (mIsRetryTaken) {
-    aCall.Abort();
-  } else if (mayRetry || hasRival) {
+  if (isTakenOver || HasRival(aAttempt) || MayRetry()) {
     ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
   }
 }
@@ -772,6 +763,11 @@
   return false;
 }
 
+auto exchange::MayAttemptTwice() const -> bool
+{
+  return mRoute->mRetryPolicy != retry_policy::Once && mExecutions + 2 <= mRoute->mMaxAttempts;
+}
+
 auto exchange::TakeRetry() -> bool
 {
   return mState.mRetryBudgets[mService].TryTake(mState.mPeers.MemberCount(), ReadBootClock());
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -108,9 +108,17 @@
     boost::system::error_code mReadError;
   };
 
+  /// Why a second attempt is made beside the first one: its answer is late, or its endpoint has
+  /// fallen silent, also in the middle of a stream.
+  enum class second_attempt_kind
+  {
+    Hedge,
+    Takeover
+  };
+
   /// Two attempts at the request at the same time, of which the first to answer is forwarded. Until
   /// the second one is sent, it waits for its time.
-  struct hedged_attempts;
+  struct parallel_attempts;
 
   auto Admit() -> boost::asio::awaitable<bool>;
   auto Run() -> boost::asio::awaitable<void>;
@@ -123,18 +131,37 @@
   /// Makes one attempt. aExpected is the expected time until the first event, or until the response
   /// for services that are not models; the timeout of the stall timer is derived from it.
   auto SendOnce(attempt& aAttempt, duration aExpected) -> boost::asio::awaitable<execution_outcome>;
-  /// Makes one attempt, and a second one at another endpoint if the answer is late. On failure of
-  /// both, aFirst becomes the one that failed last.
-  auto SendHedged(attempt& aFirst, duration aExpected, duration aDelay)
+  /// Makes one attempt, and second ones at other endpoints if it is later than aHedgeDelay or
+  /// silent. An attempt is only given up for one that has answered. On failure of both, aFirst
+  /// becomes the one that failed last.
+  auto SendParallel(attempt& aFirst, duration aExpected, std::optional<duration> aHedgeDelay)
     -> boost::asio::awaitable<execution_outcome>;
   /// Makes one of two attempts; it is cancelled as soon as the other one has answered.
-  auto RunHedgedAttempt(hedged_attempts& aAttempts, std::size_t aIndex, duration aExpected)
+  auto RunAttempt(parallel_attempts& aAttempts, std::size_t aIndex, duration aExpected)
+    -> boost::asio::awaitable<void>;
+  /// Makes the second attempts that become due while the first one is in progress.
+  auto RunSecondAttempts(parallel_attempts& aAttempts, std::optional<duration> aHedgeDelay)
     -> boost::asio::awaitable<void>;
-  /// Waits until the request may be hedged, and makes the second attempt then.
-  auto RunHedge(hedged_attempts& aAttempts, duration aDelay) -> boost::asio::awaitable<void>;
-  /// Chooses the endpoint of the second attempt, and takes the retry for it. Empty if none may be
-  /// sent now.
-  [[nodiscard]] auto TakeHedge(const hedged_attempts& aAttempts, time_point aNow)
+  /// Returns when a second attempt is due, or false when the first one has ended.
+  auto AwaitSecondAttempt(parallel_attempts& aAttempts, std::optional<duration> aHedgeDelay)
+    -> boost::asio::awaitable<bool>;
+  /// Takes a place for the second attempt, which is due then.
+  auto BeginSecondAttempt(parallel_attempts& aAttempts,
+                          endpoint_table::choice aEndpoint,
+                          second_attempt_kind aKind,
+                          time_point aNow) -> void;
+  auto BeginHedge(parallel_attempts& aAttempts,
+                  endpoint_table::choice aEndpoint,
+                  duration aDelay,
+                  time_point aNow) -> void;
+  /// Lets another endpoint take over from a silent one, if there is one that can and a retry may be
+  /// taken. The silent attempt goes on until the other one has answered.
+  auto TakeOver(const attempt& aSilent, time_point aNow) -> bool;
+  /// Whether a part of the prompt has become suspect. If not, a request that is only admitted as a
+  /// trial counts as sent.
+  [[nodiscard]] auto IsQuarantined(time_point aNow) -> bool;
+  /// Chooses the endpoint of a hedge, and takes the retry for it. Empty if none may be sent now.
+  [[nodiscard]] auto TakeHedge(const parallel_attempts& aAttempts, time_point aNow)
     -> std::optional<endpoint_table::choice>;
   /// Time after which the next attempt may be hedged; empty if it may not.
   [[nodiscard]] auto HedgeDelay() const -> std::optional<duration>;
@@ -146,7 +173,7 @@
   /// other one has answered first.
   [[nodiscard]] auto ClaimAnswer(const attempt& aAttempt) -> bool;
   /// Records the result of the second attempt, unless none was sent or its result is known.
-  auto SettleHedge(hedge_result aResult) -> void;
+  auto SettleSecondAttempt(second_attempt_result aResult) -> void;
   /// Passes the time of an answer, or a first event, on to the hedge_policy.
   auto RecordAnswerTime(const attempt& aAttempt, time_point aNow) -> void;
   /// Passes on that the service had no free slot for the request, if that is so.
@@ -173,7 +200,7 @@
     -> boost::asio::awaitable<execution_outcome>;
   /// Calls OnStall unless it is armed again or the attempt ends within aTimeout.
   auto ArmStallTimer(endpoint_call& aCall, const attempt& aAttempt, duration aTimeout) -> void;
-  /// Reports a stall of the endpoint, and aborts the attempt if the request can be retried now.
+  /// Reports a stall of the endpoint, and lets another one take over if that is possible now.
   auto OnStall(endpoint_call& aCall, const attempt& aAttempt) -> void;
   /// Whether the request would be sent to an endpoint that has not been tried now, and end in time.
   [[nodiscard]] auto CanBeSentElsewhere(time_point aNow) const -> bool;
@@ -219,6 +246,8 @@
   auto AwaitMemory(memory_reservation& aHeld, std::size_t aBytes) -> boost::asio::awaitable<void>;
   /// Whether the route allows another attempt.
   [[nodiscard]] auto MayRetry() const -> bool;
+  /// Whether the route allows two more attempts, so that they may be made at the same time.
+  [[nodiscard]] auto MayAttemptTwice() const -> bool;
   /// Takes one retry from the service's budget. False when the budget is exhausted.
   [[nodiscard]] auto TakeRetry() -> bool;
   [[nodiscard]] auto ComposeRequest(const std::string& aEndpoint) const -> forwarded_request;
@@ -243,8 +272,6 @@
   const route_spec* mRoute = nullptr;
   const organisation_spec* mOrganisation = nullptr;
   std::string mService;
-  /// A retry for the current attempt has been taken from the budget already.
-  bool mIsRetryTaken = false;
   /// The shared parts of the prompt; set at admission.
   std::vector<prompt_part_key> mPartKeys;
   /// Why the request was refused, if a part of its prompt is quarantined.
@@ -271,10 +298,14 @@
   /// All attempts, including those that were not executed.
   std::uint32_t mSends = 0;
   std::string mLastEndpoint;
-  /// The attempts that are being made, if the request may be hedged.
-  hedged_attempts* mHedgedAttempts = nullptr;
+  /// The attempts that are being made, if there may be a second one.
+  parallel_attempts* mParallelAttempts = nullptr;
+  /// The second attempt whose result is not known yet.
+  std::optional<second_attempt_kind> mSecondAttempt;
   bool mIsHedged = false;
-  std::optional<hedge_result> mHedgeResult;
+  std::optional<second_attempt_result> mHedgeResult;
+  /// The result of the last takeover.
+  std::optional<second_attempt_result> mTakeoverResult;
   std::optional<time_point> mFirstSent;
   std::optional<time_point> mFirstEvent;
   std::optional<time_point> mLastEvent;
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -90,7 +90,7 @@
 auto exchange::Finish(exchange_end aEnd, unsigned aStatus, std::string_view aReason) -> void
 {
   mIsFinished = true;
-  SettleHedge(hedge_result::Abandoned);
+  SettleSecondAttempt(second_attempt_result::Abandoned);
   const auto now = ReadBootClock();
   const auto end = kExchangeEndNames.NameOf(aEnd);
   auto line = boost::json::object{ { "request", mMetadata.mId },
@@ -121,7 +121,10 @@
     line["events"] = mEvents.EventCount();
   }
   if (mHedgeResult) {
-    line["hedge"] = kHedgeResultNames.NameOf(*mHedgeResult);
+    line["hedge"] = kSecondAttemptResultNames.NameOf(*mHedgeResult);
+  }
+  if (mTakeoverResult) {
+    line["takeover"] = kSecondAttemptResultNames.NameOf(*mTakeoverResult);
   }
   if (aEnd == exchange_end::Refused || aEnd == exchange_end::Failed) {
     AddDecisionInputs(line);
--- a/packages/gateway/src/exchange_hedge.cpp
+++ b/packages/gateway/src/exchange_second_attempt.cpp
@@ -1,4 +1,5 @@
-// The second attempt of exchange, which is made when the answer to the first one is late.
+// The second attempt of exchange, which is made beside the first one when the answer is late (a
+// hedge) or the endpoint has fallen silent (a takeover).
 
 #include "exchange.h"
 
@@ -14,6 +15,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace bronzering {
 
@@ -31,11 +33,11 @@
 
 } // namespace
 
-struct exchange::hedged_attempts
+struct exchange::parallel_attempts
 {
-  hedged_attempts(boost::asio::io_context& aContext, attempt& aFirst)
+  parallel_attempts(boost::asio::io_context& aContext, attempt& aFirst)
     : mFirst(aFirst)
-    , mDelayTimer(aContext)
+    , mSecondTimer(aContext)
     , mCancelSignals{ boost::asio::steady_timer(aContext), boost::asio::steady_timer(aContext) }
   {
     for (auto& signal : mCancelSignals) {
@@ -50,30 +52,36 @@
   [[nodiscard]] auto At(std::size_t aIndex) -> attempt& { return aIndex == 0 ? mFirst : *mSecond; }
 
   attempt& mFirst;
+  /// The second attempt, and whether it has been chosen but not sent yet.
   std::optional<attempt> mSecond;
+  bool mIsSecondDue = false;
+  /// What the second attempt is made for.
+  second_attempt_kind mKind = second_attempt_kind::Hedge;
   std::array<bool, 2> mIsRunning{ true, false };
   /// What the attempts that have ended mean for the request; empty for one that was cancelled.
   std::array<std::optional<execution_outcome>, 2> mOutcomes;
-  /// The attempt whose answer is forwarded.
+  /// The attempt whose answer is forwarded; empty while both may still answer.
   std::optional<std::size_t> mWinner;
   /// The attempt that ended last.
   std::size_t mLast = 0;
-  /// Runs until the request may be hedged; cancelled when it need not be any more.
-  boost::asio::steady_timer mDelayTimer;
+  /// Runs until the second attempt may be a hedge; cancelled when it is due or not needed any more.
+  boost::asio::steady_timer mSecondTimer;
   /// Never expire; cancelled to cancel the attempt.
   std::array<boost::asio::steady_timer, 2> mCancelSignals;
 };
 
-auto exchange::SendHedged(attempt& aFirst, duration aExpected, duration aDelay)
+auto exchange::SendParallel(attempt& aFirst,
+                            duration aExpected,
+                            std::optional<duration> aHedgeDelay)
   -> boost::asio::awaitable<execution_outcome>
 {
   using namespace boost::asio::experimental::awaitable_operators;
-  auto attempts = hedged_attempts(mState.mContext, aFirst);
+  auto attempts = parallel_attempts(mState.mContext, aFirst);
   // Ends the outstanding request of an attempt that was cancelled before it started.
   struct attempts_guard
   {
     exchange& mOwner;
-    hedged_attempts& mAttempts;
+    parallel_attempts& mAttempts;
     ~attempts_guard()
     {
       const auto now = ReadBootClock();
@@ -82,13 +90,13 @@
       if (mAttempts.mSecond) {
         endpoints.End(mAttempts.mSecond->mId, attempt_result::Abandoned, now);
       }
-      mOwner.mHedgedAttempts = nullptr;
+      mOwner.mParallelAttempts = nullptr;
     }
   };
   {
     const auto guard = attempts_guard{ *this, attempts };
-    mHedgedAttempts = &attempts;
-    co_await (RunHedgedAttempt(attempts, 0, aExpected) && RunHedge(attempts, aDelay));
+    mParallelAttempts = &attempts;
+    co_await (RunAttempt(attempts, 0, aExpected) && RunSecondAttempts(attempts, aHedgeDelay));
   }
   const auto& outcomes = attempts.mOutcomes;
   if (attempts.mWinner) {
@@ -113,7 +121,7 @@
   co_return mayHaveExecuted ? execution_outcome::MayHaveExecuted : *last;
 }
 
-auto exchange::RunHedgedAttempt(hedged_attempts& aAttempts, std::size_t aIndex, duration aExpected)
+auto exchange::RunAttempt(parallel_attempts& aAttempts, std::size_t aIndex, duration aExpected)
   -> boost::asio::awaitable<void>
 {
   using namespace boost::asio::experimental::awaitable_operators;
@@ -122,7 +130,7 @@
                                 aAttempts.mCancelSignals[aIndex].async_wait(kUseTuple));
   aAttempts.mIsRunning[aIndex] = false;
   if (aIndex == 0) {
-    aAttempts.mDelayTimer.cancel();
+    aAttempts.mSecondTimer.cancel();
   }
   const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
   if (result.index() == 1 || IsOvertaken(current) ||
@@ -133,57 +141,136 @@
   aAttempts.mOutcomes[aIndex] = outcome;
   aAttempts.mLast = aIndex;
   if (aIndex == 1 && outcome != execution_outcome::Done) {
-    SettleHedge(hedge_result::Failed);
+    SettleSecondAttempt(second_attempt_result::Failed);
   }
   if (aAttempts.mIsRunning[1 - aIndex]) {
     RecordFailedAttempt(current, outcome);
   }
 }
 
-auto exchange::RunHedge(hedged_attempts& aAttempts, duration aDelay) -> boost::asio::awaitable<void>
+auto exchange::RunSecondAttempts(parallel_attempts& aAttempts, std::optional<duration> aHedgeDelay)
+  -> boost::asio::awaitable<void>
 {
-  auto wait = duration(aAttempts.mFirst.mStarted + aDelay - ReadBootClock());
-  auto choice = std::optional<endpoint_table::choice>();
-  while (!choice) {
-    aAttempts.mDelayTimer.expires_after(std::max(wait, duration::zero()));
-    co_await aAttempts.mDelayTimer.async_wait(kUseTuple);
+  // A first attempt that outlives a second one may fall silent again.
+  while (aAttempts.mIsRunning[0] && aAttempts.mWinner != 1U) {
+    const auto hedgeDelay = mIsHedged ? std::nullopt : aHedgeDelay;
+    const auto isDue = co_await AwaitSecondAttempt(aAttempts, hedgeDelay);
+    if (!isDue) {
+      co_return;
+    }
+    aAttempts.mIsSecondDue = false;
+    if (aAttempts.mWinner) {
+      // The first endpoint has answered in the meantime.
+      mState.mEndpoints.End(aAttempts.mSecond->mId, attempt_result::Abandoned, ReadBootClock());
+      continue;
+    }
+    aAttempts.mIsRunning[1] = true;
+    co_await RunAttempt(aAttempts, 1, aAttempts.mSecond->mEndpoint.mExpected.mFirstEvent);
+  }
+}
+
+auto exchange::AwaitSecondAttempt(parallel_attempts& aAttempts, std::optional<duration> aHedgeDelay)
+  -> boost::asio::awaitable<bool>
+{
+  auto next = aHedgeDelay ? std::optional(aAttempts.mFirst.mStarted + *aHedgeDelay) : std::nullopt;
+  while (!aAttempts.mIsSecondDue) {
+    if (next) {
+      aAttempts.mSecondTimer.expires_after(
+        std::max(duration(*next - ReadBootClock()), duration::zero()));
+    } else {
+      aAttempts.mSecondTimer.expires_at(boost::asio::steady_timer::time_point::max());
+    }
+    co_await aAttempts.mSecondTimer.async_wait(kUseTuple);
     const auto cancellation = co_await boost::asio::this_coro::cancellation_state;
-    if (!aAttempts.mIsRunning[0] || aAttempts.mWinner ||
+    if (!aAttempts.mIsRunning[0] ||
         cancellation.cancelled() != boost::asio::cancellation_type::none) {
-      co_return;
+      co_return false;
+    }
+    const auto now = ReadBootClock();
+    if (aAttempts.mWinner) {
+      next.reset();
+    } else if (!aAttempts.mIsSecondDue && next && now >= *next) {
+      if (auto choice = TakeHedge(aAttempts, now)) {
+        BeginHedge(aAttempts, std::move(*choice), *aHedgeDelay, now);
+      }
+      next = now + std::max(*aHedgeDelay / kRecheckFraction, kMinRecheck);
     }
-    choice = TakeHedge(aAttempts, ReadBootClock());
-    wait = std::max(aDelay / kRecheckFraction, kMinRecheck);
   }
+  co_return true;
+}
 
-  const auto now = ReadBootClock();
+auto exchange::BeginSecondAttempt(parallel_attempts& aAttempts,
+                                  endpoint_table::choice aEndpoint,
+                                  second_attempt_kind aKind,
+                                  time_point aNow) -> void
+{
   const auto id = exchange_id{ ++mState.mExchangeCount };
-  mState.mEndpoints.Begin(id, choice->mId, mMetadata.mEstimatedWork, now);
-  mState.mHedges.OnHedge(mService, now);
-  mIsHedged = true;
+  mState.mEndpoints.Begin(id, aEndpoint.mId, mMetadata.mEstimatedWork, aNow);
   mTriedEndpoints.push_back(aAttempts.mFirst.mEndpoint.mId);
+  aAttempts.mSecond = attempt{ id, std::move(aEndpoint), aNow, 0, {} };
+  aAttempts.mIsSecondDue = true;
+  aAttempts.mKind = aKind;
+  mSecondAttempt = aKind;
+}
+
+auto exchange::BeginHedge(parallel_attempts& aAttempts,
+                          endpoint_table::choice aEndpoint,
+                          duration aDelay,
+                          time_point aNow) -> void
+{
+  mState.mHedges.OnHedge(mService, aNow);
+  mIsHedged = true;
   mState.mLog.Write(log_priority::Notable,
                     "hedge_sent",
                     { { "request", mMetadata.mId },
                       { "endpoint", aAttempts.mFirst.mEndpoint.mId },
-                      { "hedge_endpoint", choice->mId },
-                      { "elapsed_us", duration(now - aAttempts.mFirst.mStarted).count() },
+                      { "hedge_endpoint", aEndpoint.mId },
+                      { "elapsed_us", duration(aNow - aAttempts.mFirst.mStarted).count() },
                       { "delay_us", aDelay.count() },
                       { "percentile", hedge_policy::kPercentile },
-                      { "expected_us", choice->mExpected.mFirstEvent.count() },
-                      { "expected_end_us", choice->mExpected.mEnd.count() } },
-                    now);
-  const auto expected = choice->mExpected.mFirstEvent;
-  aAttempts.mSecond = attempt{ id, std::move(*choice), now, 0, {} };
-  aAttempts.mIsRunning[1] = true;
-  co_await RunHedgedAttempt(aAttempts, 1, expected);
+                      { "expected_us", aEndpoint.mExpected.mFirstEvent.count() },
+                      { "expected_end_us", aEndpoint.mExpected.mEnd.count() } },
+                    aNow);
+  BeginSecondAttempt(aAttempts, std::move(aEndpoint), second_attempt_kind::Hedge, aNow);
 }
 
-auto exchange::TakeHedge(const hedged_attempts& aAttempts, time_point aNow)
+auto exchange::TakeOver(const attempt& aSilent, time_point aNow) -> bool
+{
+  if (mParallelAttempts == nullptr || HasRival(aSilent) || mParallelAttempts->mIsSecondDue ||
+      mParallelAttempts->IndexOf(aSilent) != 0 || mSends >= kMaxSends || !MayRetry()) {
+    return false;
+  }
+  auto other = mState.mDispatchWaiter.Queue().Preview(TicketForOthers(), aNow);
+  if (!other || !MayStart(other->mExpected.mEnd) || IsQuarantined(aNow) || !TakeRetry()) {
+    return false;
+  }
+  auto& attempts = *mParallelAttempts;
+  mState.mLog.Write(log_priority::Notable,
+                    "takeover_sent",
+                    { { "request", mMetadata.mId },
+                      { "endpoint", aSilent.mEndpoint.mId },
+                      { "takeover_endpoint", other->mId },
+                      { "events", mEvents.EventCount() },
+                      { "elapsed_us", duration(aNow - aSilent.mStarted).count() },
+                      { "expected_us", other->mExpected.mFirstEvent.count() },
+                      { "expected_end_us", other->mExpected.mEnd.count() } },
+                    aNow);
+  BeginSecondAttempt(attempts, std::move(*other), second_attempt_kind::Takeover, aNow);
+  // Whichever endpoint sends the next event goes on with the answer.
+  attempts.mWinner.reset();
+  attempts.mSecondTimer.cancel();
+  return true;
+}
+
+auto exchange::IsQuarantined(time_point aNow) -> bool
+{
+  return !mPartKeys.empty() && mState.mQuarantine.Judge(mPartKeys, aNow).mRejectedPart;
+}
+
+auto exchange::TakeHedge(const parallel_attempts& aAttempts, time_point aNow)
   -> std::optional<endpoint_table::choice>
 {
-  // A stall may just have taken a retry, which makes a second attempt of its own.
-  if (mIsRetryTaken || mSends >= kMaxSends || !MayRetry()) {
+  if (mSends >= kMaxSends || !MayRetry()) {
     return std::nullopt;
   }
   auto choice = mState.mHedges.ChooseEndpoint(mState.mDispatchWaiter.Queue(),
@@ -196,7 +283,7 @@
     return std::nullopt;
   }
   // A part of the prompt may have become suspect since the first attempt.
-  if (!mPartKeys.empty() && mState.mQuarantine.Judge(mPartKeys, aNow).mRejectedPart) {
+  if (IsQuarantined(aNow)) {
     return std::nullopt;
   }
   return choice;
@@ -205,8 +292,7 @@
 auto exchange::HedgeDelay() const -> std::optional<duration>
 {
   const auto& hedges = mState.mHedges;
-  if (!hedges.IsOn() || mIsHedged || mRoute->mRetryPolicy == retry_policy::Once ||
-      mExecutions + 2 > mRoute->mMaxAttempts || mResponseWriter.HasStarted() ||
+  if (!hedges.IsOn() || mIsHedged || !MayAttemptTwice() || mResponseWriter.HasStarted() ||
       mEvents.EventCount() > 0) {
     return std::nullopt;
   }
@@ -215,22 +301,22 @@
 
 auto exchange::IsOvertaken(const attempt& aAttempt) const -> bool
 {
-  return mHedgedAttempts != nullptr && mHedgedAttempts->mWinner &&
-         *mHedgedAttempts->mWinner != mHedgedAttempts->IndexOf(aAttempt);
+  return mParallelAttempts != nullptr && mParallelAttempts->mWinner &&
+         *mParallelAttempts->mWinner != mParallelAttempts->IndexOf(aAttempt);
 }
 
 auto exchange::HasRival(const attempt& aAttempt) const -> bool
 {
-  return mHedgedAttempts != nullptr && !mHedgedAttempts->mWinner &&
-         mHedgedAttempts->mIsRunning[1 - mHedgedAttempts->IndexOf(aAttempt)];
+  return mParallelAttempts != nullptr && !mParallelAttempts->mWinner &&
+         mParallelAttempts->mIsRunning[1 - mParallelAttempts->IndexOf(aAttempt)];
 }
 
 auto exchange::ClaimAnswer(const attempt& aAttempt) -> bool
 {
-  if (mHedgedAttempts == nullptr) {
+  if (mParallelAttempts == nullptr) {
     return true;
   }
-  auto& attempts = *mHedgedAttempts;
+  auto& attempts = *mParallelAttempts;
   if (attempts.mWinner) {
     return !IsOvertaken(aAttempt);
   }
@@ -238,10 +324,13 @@
   const auto other = 1 - index;
   const auto hadRival = HasRival(aAttempt);
   attempts.mWinner = index;
-  attempts.mDelayTimer.cancel();
   mLastEndpoint = aAttempt.mEndpoint.mId;
-  SettleHedge(index == 1 ? hedge_result::Won : hedge_result::Lost);
-  if (hadRival) {
+  SettleSecondAttempt(index == 1 ? second_attempt_result::Won : second_attempt_result::Lost);
+  if (!hadRival) {
+    return true;
+  }
+  // That an endpoint fell silent has been recorded already.
+  if (attempts.mKind == second_attempt_kind::Hedge) {
     const auto now = ReadBootClock();
     const auto& loser = attempts.At(other);
     const auto time = mState.mHedges.OnCancelled(HedgeClass(), duration(now - loser.mStarted), now);
@@ -250,23 +339,30 @@
     if (mRoute->mIsStream || (service != nullptr && !service->mIsModel)) {
       mState.mEndpoints.OnOvertaken(loser.mId, time);
     }
-    attempts.mCancelSignals[other].cancel();
   }
+  attempts.mCancelSignals[other].cancel();
   return true;
 }
 
-auto exchange::SettleHedge(hedge_result aResult) -> void
+auto exchange::SettleSecondAttempt(second_attempt_result aResult) -> void
 {
-  if (!mIsHedged || mHedgeResult) {
+  const auto kind = std::exchange(mSecondAttempt, std::nullopt);
+  if (!kind) {
     return;
   }
-  mHedgeResult = aResult;
-  mState.mHedges.OnResult(mService, aResult);
-  mState.mMetrics
-    .Counter(
-      "bronzering_hedges_total",
-      fmt::format("service=\"{}\",result=\"{}\"", mService, kHedgeResultNames.NameOf(aResult)))
-    .Add();
+  const auto result = kSecondAttemptResultNames.NameOf(aResult);
+  const auto labels = fmt::format("service=\"{}\",result=\"{}\"", mService, result);
+  switch (*kind) {
+    case second_attempt_kind::Hedge:
+      mHedgeResult = aResult;
+      mState.mHedges.OnResult(mService, aResult);
+      mState.mMetrics.Counter("bronzering_hedges_total", labels).Add();
+      return;
+    case second_attempt_kind::Takeover:
+      mTakeoverResult = aResult;
+      mState.mMetrics.Counter("bronzering_takeovers_total", labels).Add();
+      return;
+  }
 }
 
 auto exchange::RecordAnswerTime(const attempt& aAttempt, time_point aNow) -> void
--- a/packages/gateway/tests/hedged_request_test.cpp
+++ b/packages/gateway/tests/hedged_request_test.cpp
@@ -53,10 +53,10 @@
     return script(aRequest);
   }
 
-  [[nodiscard]] auto Count(hedge_result aResult) -> std::uint64_t
+  [[nodiscard]] auto Count(second_attempt_result aResult) -> std::uint64_t
   {
     const auto labels = fmt::format("service=\"engines\",result=\"{}\"",
-                                    std::string(kHedgeResultNames.NameOf(aResult)));
+                                    std::string(kSecondAttemptResultNames.NameOf(aResult)));
     return mFixture.Metrics().Counter("bronzering_hedges_total", labels).Value();
   }
   /// Connections that the gateway closed before the endpoint had answered.
@@ -113,7 +113,7 @@
   auto output = captured_output();
   auto hedging = std::make_unique<hedging_fixture>();
   auto body = std::string("whole");
-  auto result = hedge_result::Won;
+  auto result = second_attempt_result::Won;
   hedging->mFirst = Hang;
   hedging->mSecond = CompleteAnswer;
   SECTION("the second one") {}
@@ -122,7 +122,7 @@
     hedging->mFirst = AnswerLate;
     hedging->mSecond = Hang;
     body = "late";
-    result = hedge_result::Lost;
+    result = second_attempt_result::Lost;
   }
   hedging->mFixture.Run([&]() -> awaitable<void> {
     co_await hedging->WarmUp("/again/x");
@@ -138,7 +138,7 @@
   });
   const auto log = output.Drain([&] { hedging.reset(); });
   CHECK(log.find("hedge_sent") != std::string::npos);
-  CHECK(log.find(fmt::format("\"hedge\":\"{}\"", kHedgeResultNames.NameOf(result))) !=
+  CHECK(log.find(fmt::format("\"hedge\":\"{}\"", kSecondAttemptResultNames.NameOf(result))) !=
         std::string::npos);
   CHECK(log.find("attempt_failed") == std::string::npos);
 }
@@ -165,7 +165,7 @@
     co_await Pause(20ms);
     CHECK(hedging.mArrived == 2);
     CHECK(hedging.Disconnects() == 1);
-    CHECK(hedging.Count(hedge_result::Won) == 1);
+    CHECK(hedging.Count(second_attempt_result::Won) == 1);
   });
 }
 
@@ -211,7 +211,7 @@
     REQUIRE(answer);
     CHECK(answer->mStatus == status);
     CHECK(hedging.mArrived == 2);
-    CHECK(hedging.Count(hedge_result::Failed) == 1);
+    CHECK(hedging.Count(second_attempt_result::Failed) == 1);
   });
 }
 
@@ -233,7 +233,7 @@
     caller.Close();
     co_await Pause(50ms);
     CHECK(hedging.Disconnects() == 2);
-    CHECK(hedging.Count(hedge_result::Abandoned) == 1);
+    CHECK(hedging.Count(second_attempt_result::Abandoned) == 1);
   });
 }
 
--- a/packages/gateway/tests/silent_endpoint_test.cpp
+++ b/packages/gateway/tests/silent_endpoint_test.cpp
@@ -81,6 +81,42 @@
   });
 }
 
+// Both endpoints went on with the stream, so that events came twice or an endpoint worked in vain.
+TEST_CASE("of a silent endpoint and its takeover, the first to send an event goes on alone",
+          "[silent_endpoint]")
+{
+  auto fixture = gateway_fixture();
+  auto runs = 0;
+  auto isFirstBack = false;
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    if (++runs == 1) {
+      return isFirstBack ? PausingStream(aRequest, 1'300ms)
+                         : reaction{ Events(aRequest, 1, 3), ending::Hang };
+    }
+    CHECK(aRequest["Last-Event-Id"] == "3");
+    return isFirstBack
+             ? reaction{ "", ending::Hang }
+             : reaction{ Events(aRequest, 4, 5), ending::Keep, LastEvents(aRequest, 6, 6), 300ms };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", script);
+  auto second = scripted_endpoint(fixture.Context(), "e2", script);
+  fixture.Publish(TestDocument(), { first.Listed(), second.Listed() });
+  SECTION("the takeover") {}
+  SECTION("the first endpoint, which is back")
+  {
+    isFirstBack = true;
+  }
+  fixture.Run([&]() -> awaitable<void> {
+    const auto answer = co_await fixture.Ask(RequestText("/resume/x"));
+    REQUIRE(answer);
+    CHECK(answer->mBody == kWholeStream);
+    CHECK(runs == 2);
+    while (first.Disconnects() + second.Disconnects() == 0) {
+      co_await Pause(5ms);
+    }
+  });
+}
+
 // A caller that stopped reading for a second was taken for a silent endpoint, whose stream was then
 // given up.
 TEST_CASE("a caller that reads slowly is not taken for a silent endpoint", "[silent_endpoint]")
