Keep an endpoint's error until its retry has brought an answer

Callers whose request was retried after an endpoint's error (5xx) got 502, without the endpoint's body and seal, when the retry was declined, broke off or ran out of time.

The error is now kept, with its memory counted, and forwarded if no other attempt brings an answer.

Evidence: the new test failed before in both parts, 502 for 500; it passes now, and so do all 73 cases of gateway_tests.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -12,6 +12,7 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace bronzering {
@@ -53,6 +54,7 @@
 constexpr auto kMemoryRecheck = std::chrono::milliseconds(50);
 /// Reasons in answers and logs.
 constexpr auto kStoppingReason = std::string_view("shutting down");
+constexpr auto kEndpointErrorReason = std::string_view("endpoint answered with an error");
 constexpr auto kNoEndpointReason = std::string_view("no endpoint can answer in time");
 
 } // namespace
@@ -131,6 +133,8 @@
     co_await AnswerStopping();
   } else if (mExecutions == 0) {
     co_await Refuse(503, "no endpoint within the deadline", {});
+  } else if (mKeptError) {
+    co_await ForwardKeptError();
   } else {
     co_await WriteProblem(504, "no answer within the deadline", false, {});
     Finish(exchange_end::TimedOut, 504, "no answer within the deadline");
@@ -484,9 +488,16 @@
     mState.mQuarantine.OnAnswer(mPartKeys, ReadBootClock());
     RecordAnswerTime(aAttempt, ReadBootClock());
   }
-  // An error is forwarded only if no other attempt may bring an answer. A hedge that brings one has
+  if (mResponseWriter.HasStarted()) {
+    co_return execution_outcome::MayHaveExecuted;
+  }
+  const auto keepError = [&] {
+    mKeptError = kept_error{ aCall.Status(), aCall.Fields(), std::move(body), std::move(held) };
+  };
+  // An error is forwarded only if no other attempt brings an answer. A hedge that brings one has
   // not won.
-  if (mResponseWriter.HasStarted() || (isError && HasRival(aAttempt))) {
+  if (isError && HasRival(aAttempt)) {
+    keepError();
     co_return execution_outcome::MayHaveExecuted;
   }
   if (isError) {
@@ -497,11 +508,12 @@
   }
   if (isError && MayRetry() && mSends < kMaxSends && CanEndElsewhere(ReadBootClock()) &&
       TakeRetry()) {
+    keepError();
     co_return execution_outcome::Retry;
   }
   mFirstEvent = ReadBootClock();
   co_await mResponseWriter.WriteComplete(aCall.Status(), aCall.Fields(), body);
-  Finish(exchange_end::Answered, aCall.Status(), isError ? "endpoint answered with an error" : "");
+  Finish(exchange_end::Answered, aCall.Status(), isError ? kEndpointErrorReason : "");
   co_return execution_outcome::Done;
 }
 
@@ -702,10 +714,26 @@
     Finish(exchange_end::Cut, 0, aReason);
     co_return;
   }
+  if (mKeptError) {
+    co_await ForwardKeptError();
+    co_return;
+  }
   co_await WriteProblem(aStatus, aReason, false, {});
   Finish(exchange_end::Failed, aStatus, aReason);
 }
 
+auto exchange::ForwardKeptError() -> boost::asio::awaitable<void>
+{
+  assert(mKeptError && !mResponseWriter.HasStarted());
+  if (mState.mShutdown.IsStopping()) {
+    mResponseWriter.CloseAfterResponse();
+  }
+  mFirstEvent = ReadBootClock();
+  co_await mResponseWriter.WriteComplete(
+    mKeptError->mStatus, mKeptError->mFields, mKeptError->mBody);
+  Finish(exchange_end::Answered, mKeptError->mStatus, kEndpointErrorReason);
+}
+
 auto exchange::WriteProblem(unsigned aStatus,
                             std::string_view aReason,
                             bool aIsNotExecuted,
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -116,6 +116,15 @@
     Takeover
   };
 
+  /// An error that an endpoint answered, kept until another attempt has answered.
+  struct kept_error
+  {
+    unsigned mStatus;
+    http_fields mFields;
+    std::string mBody;
+    memory_reservation mMemory;
+  };
+
   /// Two attempts at the request at the same time, of which the first to answer is forwarded. Until
   /// the second one is sent, it waits for its time.
   struct parallel_attempts;
@@ -240,6 +249,9 @@
   [[nodiscard]] auto TimeLeft(time_point aNow) const -> duration;
   /// When the caller leaves if no further event arrives.
   [[nodiscard]] auto FirstEventBy() const -> time_point;
+  /// Forwards the error that an endpoint answered before its retry, which brought no answer.
+  /// Precondition: there is one, and no response has started.
+  auto ForwardKeptError() -> boost::asio::awaitable<void>;
   /// Frees the body of a request that cannot be sent again.
   auto ReleaseBody() -> void;
   /// Waits until the process has memory for an answer of aBytes.
@@ -298,6 +310,7 @@
   /// All attempts, including those that were not executed.
   std::uint32_t mSends = 0;
   std::string mLastEndpoint;
+  std::optional<kept_error> mKeptError;
   /// The attempts that are being made, if there may be a second one.
   parallel_attempts* mParallelAttempts = nullptr;
   /// The second attempt whose result is not known yet.
--- a/packages/gateway/tests/silent_endpoint_test.cpp
+++ b/packages/gateway/tests/silent_endpoint_test.cpp
@@ -81,6 +81,39 @@
   });
 }
 
+// The error of an endpoint was dropped for a retry that then brought no answer, so the caller got
+// 502 without the endpoint's reason.
+TEST_CASE("an endpoint's error is not lost when its retry brings no answer", "[silent_endpoint]")
+{
+  auto fixture = gateway_fixture();
+  auto runs = 0;
+  auto isDeclined = false;
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    if (++runs > 1) {
+      return isDeclined ? Decline(aRequest) : reaction{ "", ending::Close };
+    }
+    auto failure = SealedAnswer(aRequest, "out of stock");
+    failure.replace(failure.find("200"), 3, "500");
+    return { std::move(failure), ending::Keep };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", script);
+  auto second = scripted_endpoint(fixture.Context(), "e2", script);
+  SECTION("the other endpoint is full")
+  {
+    isDeclined = true;
+  }
+  SECTION("the other endpoint breaks off") {}
+  fixture.Publish(TestDocument(), { first.Listed(), second.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    const auto answer = co_await fixture.Ask(RequestText("/again/x"));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 500);
+    CHECK(answer->mBody == "out of stock");
+    CHECK(answer->mFields["Seal"] == "s-r1");
+    CHECK(runs == 2);
+  });
+}
+
 // Both endpoints went on with the stream, so that events came twice or an endpoint worked in vain.
 TEST_CASE("of a silent endpoint and its takeover, the first to send an event goes on alone",
           "[silent_endpoint]")
