Keep the events of an overtaken endpoint out of the winner's stream

Callers could get a stream that ends as complete without some of its events, or with two events run together.

Cause: the second of two attempts that sends the next event claims the answer, and its event splitter replaces the exchange's. The first attempt is cancelled, but if its bytes have arrived in the same turn of the event loop, its read still ends normally. As it had claimed the stream before, it added them to the winner's splitter, which then dropped the winner's events as repeats, or joined a half event of one endpoint with bytes of the other.

Evidence: with events 4 to 6 of a recovering endpoint and event 4 of the one that takes over in the same turn, the caller got events 1 to 4 and a regular end. With half of event 5 behind event 4 it got "ta: e5".

An attempt that has lost drops what it reads, before it touches the splitter.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -520,6 +520,12 @@
     const auto bytes = co_await aCall.ReadSome();
     // The endpoint is not silent while this entry waits for the caller to read.
     aCall.DisarmStallTimer();
+    // The events of the attempt that answers are counted in mEvents. What this one has received
+    // since must not be added to them; its cancellation may still be on the way.
+    if (IsOvertaken(aAttempt)) {
+      aResult = attempt_result::Abandoned;
+      co_return execution_outcome::MayHaveExecuted;
+    }
     if (!bytes) {
       aResult = attempt_result::Failed;
       co_return execution_outcome::MayHaveExecuted;
--- /dev/null
+++ b/packages/gateway/tests/takeover_test.cpp
@@ -0,0 +1,141 @@
+#include "gateway_harness.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <spdlog/fmt/fmt.h>
+
+#include <optional>
+#include <utility>
+
+using namespace bronzering;
+using namespace std::chrono_literals;
+using boost::asio::awaitable;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr auto kWholeStream =
+  std::string_view("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+                   "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\nid: 6\ndata: e6\n\n");
+/// The end of a streamed response.
+constexpr auto kEnd = std::string_view("0\r\n\r\n");
+
+/// An endpoint on loopback that takes one request and writes what the test tells it to.
+class stepped_endpoint
+{
+public:
+  stepped_endpoint(boost::asio::io_context& aContext, std::string aId)
+    : mId(std::move(aId))
+    , mAcceptor(aContext, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    , mSocket(aContext)
+  {
+    boost::asio::co_spawn(
+      aContext, [this] { return AcceptRequest(); }, boost::asio::detached);
+  }
+
+  [[nodiscard]] auto Listed() const -> listed_endpoint
+  {
+    auto listed = listed_endpoint();
+    listed.mId = mId;
+    listed.mService = "engines";
+    listed.mAddress = "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+    listed.mAvailabilityZone = "a";
+    listed.mSlots = 8;
+    return listed;
+  }
+  /// Empty until the request has arrived.
+  [[nodiscard]] auto Request() const -> const std::optional<http_request>& { return mRequest; }
+  /// Writes without giving the processor to the gateway, which then sees everything at once.
+  auto Write(std::string_view aText) -> void
+  {
+    boost::asio::write(mSocket, boost::asio::buffer(aText));
+  }
+
+private:
+  auto AcceptRequest() -> awaitable<void>
+  {
+    mSocket = co_await mAcceptor.async_accept(boost::asio::use_awaitable);
+    auto buffer = boost::beast::flat_buffer();
+    auto request = http_request();
+    co_await boost::beast::http::async_read(mSocket, buffer, request, boost::asio::use_awaitable);
+    mRequest = std::move(request);
+  }
+
+  std::string mId;
+  tcp::acceptor mAcceptor;
+  tcp::socket mSocket;
+  std::optional<http_request> mRequest;
+};
+
+/// The header of a streamed response, and the events from aFirst to aLast as one chunk.
+auto HeaderAndEvents(const http_request& aRequest, int aFirst, int aLast)
+  -> std::pair<std::string, std::string>
+{
+  const auto text = Events(aRequest, aFirst, aLast);
+  const auto end = text.find("\r\n\r\n") + 4;
+  return { text.substr(0, end), text.substr(end) };
+}
+
+} // namespace
+
+// The events of a silent endpoint that recovered just as another one took over were counted as sent
+// to the caller, who then missed them.
+TEST_CASE("no event is skipped if two endpoints go on with a stream at the same time", "[takeover]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoints =
+    std::pair<stepped_endpoint, stepped_endpoint>(std::piecewise_construct,
+                                                  std::forward_as_tuple(fixture.Context(), "e1"),
+                                                  std::forward_as_tuple(fixture.Context(), "e2"));
+  auto cutEvent = std::string();
+  SECTION("in whole events") {}
+  SECTION("in the middle of an event")
+  {
+    cutEvent = "id: 5\nda";
+  }
+  fixture.Publish(TestDocument(), { endpoints.first.Listed(), endpoints.second.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto answer = std::optional<test_caller::answer>();
+    StartAsk(fixture, RequestText("/resume/x"), answer);
+    for (auto turn = 0; turn < 500 && !endpoints.first.Request() && !endpoints.second.Request();
+         ++turn) {
+      co_await Pause(10ms);
+    }
+    const auto isFirst = endpoints.first.Request().has_value();
+    auto& silent = isFirst ? endpoints.first : endpoints.second;
+    auto& other = isFirst ? endpoints.second : endpoints.first;
+    REQUIRE(silent.Request());
+    silent.Write(Events(*silent.Request(), 1, 3));
+    for (auto turn = 0; turn < 500 && !other.Request(); ++turn) {
+      co_await Pause(10ms);
+    }
+    REQUIRE(other.Request());
+    CHECK((*other.Request())["Last-Event-Id"] == "3");
+
+    other.Write(HeaderAndEvents(*other.Request(), 4, 4).first);
+    co_await Pause(20ms);
+    auto fourth = HeaderAndEvents(*other.Request(), 4, 4).second;
+    auto rest = HeaderAndEvents(*other.Request(), 5, 6).second;
+    if (!cutEvent.empty()) {
+      const auto chunk = [](const std::string& aBytes) {
+        return fmt::format("{:x}\r\n{}\r\n", aBytes.size(), aBytes);
+      };
+      fourth = chunk("id: 4\ndata: e4\n\n" + cutEvent);
+      rest = chunk("ta: e5\n\nid: 6\ndata: e6\n\n");
+    }
+    other.Write(fourth);
+    silent.Write(HeaderAndEvents(*silent.Request(), 4, 6).second);
+    co_await Pause(20ms);
+    other.Write(rest + std::string(kEnd));
+    co_await Pause(50ms);
+    REQUIRE(answer);
+    CHECK(answer->mBody == kWholeStream);
+  });
+}
