Close no idle connection on which a request has arrived

Callers of a busy entry that was being stopped got a reset in place of an answer.

Cause: a connection counts as idle until its coroutine is resumed, two turns of the event loop after the request has arrived. The loop that closes idle connections, 2.5 s after the stop request, may run before.

Evidence: in the test the thread stands still for 150 ms around that moment, and a request that was sent at its beginning got no answer before; now it is served.

The connection is only closed if nothing is waiting to be read.

--- a/packages/gateway/src/caller_session.cpp
+++ b/packages/gateway/src/caller_session.cpp
@@ -68,7 +68,8 @@
 
 auto caller_session::CloseIfIdle() -> void
 {
-  if (mIsIdle) {
+  // A request may have arrived that the coroutine has not been resumed for yet.
+  if (mIsIdle && IsOpenAndIdle(mSocket)) {
     mIdleTimer.cancel();
     Close();
   }
