Hedge no stream that has begun

Hedges were sent in the middle of a stream: a retry was spent, and the time since the beginning was recorded as that of a first event.

Cause: a takeover withdraws the claim of the first attempt. If it fails, the next wait for a second attempt took the request for one without an answer, whose time to hedge was long over.

Evidence: in the log of the test, hedge_sent came 0.5 ms after the failed takeover, and three requests arrived in place of two. Needs hedging and max_attempts of 3 or more.

Hedging is off once the response has started.

--- a/packages/gateway/src/exchange_second_attempt.cpp
+++ b/packages/gateway/src/exchange_second_attempt.cpp
@@ -153,7 +153,8 @@
 {
   // A first attempt that outlives a second one may fall silent again.
   while (aAttempts.mIsRunning[0] && aAttempts.mWinner != 1U) {
-    const auto hedgeDelay = mIsHedged ? std::nullopt : aHedgeDelay;
+    const auto mayHedge = !mIsHedged && !mResponseWriter.HasStarted();
+    const auto hedgeDelay = mayHedge ? aHedgeDelay : std::nullopt;
     const auto isDue = co_await AwaitSecondAttempt(aAttempts, hedgeDelay);
     if (!isDue) {
       co_return;
--- a/packages/gateway/tests/takeover_test.cpp
+++ b/packages/gateway/tests/takeover_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway_harness.h"
 
+#include <bronzering/dispatch/hedge_policy.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -11,6 +13,7 @@
 
 #include <spdlog/fmt/fmt.h>
 
+#include <array>
 #include <optional>
 #include <utility>
 
@@ -18,6 +21,8 @@
 using namespace std::chrono_literals;
 using boost::asio::awaitable;
 using boost::asio::ip::tcp;
+using ending = scripted_endpoint::ending;
+using reaction = scripted_endpoint::reaction;
 
 namespace {
 
@@ -139,3 +144,46 @@
     CHECK(answer->mBody == kWholeStream);
   });
 }
+
+// After a takeover that failed the request counted as not answered yet, and was hedged.
+TEST_CASE("a stream that has begun is not hedged", "[takeover]")
+{
+  auto fixture = gateway_fixture("127.0.0.1", {}, {}, 30s, 100);
+  auto arrived = 0;
+  auto isWarm = false;
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    if (!isWarm) {
+      return { Events(aRequest, 1, 2) + std::string(kEnd), ending::Keep };
+    }
+    if (++arrived > 1) {
+      return { "", ending::Reset };
+    }
+    return { Events(aRequest, 1, 3),
+             ending::Keep,
+             HeaderAndEvents(aRequest, 4, 6).second + std::string(kEnd),
+             1'500ms };
+  };
+  auto endpoints = std::array{ scripted_endpoint(fixture.Context(), "e1", script),
+                               scripted_endpoint(fixture.Context(), "e2", script),
+                               scripted_endpoint(fixture.Context(), "e3", script) };
+  auto document = TestDocument();
+  document.mServices[0].mIsModel = false;
+  for (auto& route : document.mRoutes) {
+    route.mMaxAttempts = route.mName == "resume" ? 3 : route.mMaxAttempts;
+  }
+  fixture.Publish(document,
+                  { endpoints[0].Listed(), endpoints[1].Listed(), endpoints[2].Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    for (auto count = 0.0; count < hedge_policy::kMinAnswers; ++count) {
+      auto text = RequestText("/resume/x");
+      const auto answer = co_await fixture.Ask(std::move(text));
+      REQUIRE(answer);
+    }
+    isWarm = true;
+    auto text = RequestText("/resume/x");
+    const auto answer = co_await fixture.Ask(std::move(text));
+    REQUIRE(answer);
+    CHECK(answer->mBody == kWholeStream);
+    CHECK(arrived == 2);
+  });
+}
