Read what has arrived before an endpoint counts as silent

After an entry had stood still, for example frozen or short of processor time, it took endpoints for silent whose events had arrived: it spent a retry on each of their streams, avoided the endpoints and logged takeovers that were never sent.

Cause: on waking, the stall timer's handler runs one turn of the event loop after the bytes were received but before the parser has passed them on.

Evidence: in the test the thread stands still for 0.4 s across the time limit while three events arrive in time; a takeover was counted before, none now.

The action is called 10 ms after the timer's expiry unless the call has read something by then.

--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -27,6 +27,9 @@
 constexpr auto kMaxSkippedResponses = 3;
 /// Maximum size of a skipped body. Endpoints in trouble may send bytes without end.
 constexpr auto kMaxSkippedBytes = std::size_t{ 1 } * 1024 * 1024;
+/// Time between the expiry of the stall timer and its action. Far longer than the event loop takes
+/// to read what has arrived.
+constexpr auto kReadMargin = duration(std::chrono::milliseconds(10));
 /// Time for which an endpoint is assumed to keep an idle connection open when its response has no
 /// Keep-Alive timeout.
 constexpr auto kDefaultIdleLimit = duration(std::chrono::seconds(2));
@@ -175,11 +178,19 @@
   mStallTimer->expires_after(aTimeout);
   // Cancelling a timer that has expired does not stop its handler, which is in the queue already.
   const auto arming = ++*mStallArmings;
-  mStallTimer->async_wait([armings = mStallArmings, arming, action = std::move(aAction)](
-                            boost::system::error_code aError) {
-    if (!aError && *armings == arming) {
-      action();
+  mStallTimer->async_wait([this, armings = mStallArmings, arming, action = std::move(aAction)](
+                            boost::system::error_code aError) mutable {
+    if (aError || *armings != arming) {
+      return;
     }
+    // If this thread stood still, what the endpoint has sent meanwhile is read first.
+    mStallTimer->expires_after(kReadMargin);
+    mStallTimer->async_wait([armings = std::move(armings), arming, action = std::move(action)](
+                              boost::system::error_code aReadError) {
+      if (!aReadError && *armings == arming) {
+        action();
+      }
+    });
   });
 }
 
--- a/packages/gateway/tests/takeover_test.cpp
+++ b/packages/gateway/tests/takeover_test.cpp
@@ -15,6 +15,7 @@
 
 #include <array>
 #include <optional>
+#include <thread>
 #include <utility>
 
 using namespace bronzering;
@@ -187,3 +188,34 @@
     CHECK(arrived == 2);
   });
 }
+
+// An entry that had stood still for a moment took sound endpoints for silent ones, spent retries on
+// them and avoided them.
+TEST_CASE("an endpoint whose events were read late is not taken for a silent one", "[takeover]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoints =
+    std::pair<stepped_endpoint, stepped_endpoint>(std::piecewise_construct,
+                                                  std::forward_as_tuple(fixture.Context(), "e1"),
+                                                  std::forward_as_tuple(fixture.Context(), "e2"));
+  fixture.Publish(TestDocument(), { endpoints.first.Listed(), endpoints.second.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto answer = std::optional<test_caller::answer>();
+    StartAsk(fixture, RequestText("/resume/x"), answer);
+    for (auto turn = 0; turn < 500 && !endpoints.first.Request() && !endpoints.second.Request();
+         ++turn) {
+      co_await Pause(10ms);
+    }
+    auto& endpoint = endpoints.first.Request() ? endpoints.first : endpoints.second;
+    REQUIRE(endpoint.Request());
+    endpoint.Write(Events(*endpoint.Request(), 1, 3));
+    co_await Pause(800ms);
+    endpoint.Write(HeaderAndEvents(*endpoint.Request(), 4, 6).second + std::string(kEnd));
+    std::this_thread::sleep_for(400ms);
+    co_await Pause(100ms);
+    REQUIRE(answer);
+    CHECK(answer->mBody == kWholeStream);
+    const auto labels = std::string("service=\"engines\",result=\"lost\"");
+    CHECK(fixture.Metrics().Counter("bronzering_takeovers_total", labels).Value() == 0);
+  });
+}
