--- a/packages/gateway/tests/takeover_test.cpp
+++ b/packages/gateway/tests/takeover_test.cpp
@@ -219,3 +219,37 @@
     CHECK(fixture.Metrics().Counter("bronzering_takeovers_total", labels).Value() == 0);
   });
 }
+
+// An endpoint that had taken over and then fell silent was waited for until the request timed out.
+TEST_CASE("an endpoint that has taken over and falls silent is taken over from as well",
+          "[takeover]")
+{
+  auto fixture = gateway_fixture();
+  auto arrived = 0;
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    switch (++arrived) {
+      case 1:
+        return { Events(aRequest, 1, 3), ending::Hang };
+      case 2:
+        return { Events(aRequest, 4, 4), ending::Hang };
+      default:
+        return { Events(aRequest, 5, 6) + std::string(kEnd), ending::Keep };
+    }
+  };
+  auto endpoints = std::array{ scripted_endpoint(fixture.Context(), "e1", script),
+                               scripted_endpoint(fixture.Context(), "e2", script),
+                               scripted_endpoint(fixture.Context(), "e3", script) };
+  auto document = TestDocument();
+  for (auto& route : document.mRoutes) {
+    route.mMaxAttempts = route.mName == "resume" ? 3 : route.mMaxAttempts;
+    route.mTimeout = 5s;
+  }
+  fixture.Publish(document,
+                  { endpoints[0].Listed(), endpoints[1].Listed(), endpoints[2].Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto text = RequestText("/resume/x");
+    const auto answer = co_await fixture.Ask(std::move(text));
+    REQUIRE(answer);
+    CHECK(answer->mBody == kWholeStream);
+  });
+}
