Start no takeover while a second attempt still ends

By reading: with max_attempts of 3 or more, the stall timer of an attempt that has just lost could start a takeover, which replaced the second attempt while it ran. No test brings that order about. A place that is given back unused now also wakes the requests that wait for one.

--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -193,10 +193,10 @@
                 attempt& aAttempt,
                 duration aExpected,
                 attempt_result& aResult) -> boost::asio::awaitable<execution_outcome>;
-  /// Records the rate limit that the endpoint names in its answer.
   /// Records what the header of an answer says about the endpoint itself.
   auto RecordEndpointState(const endpoint_call& aCall, const attempt& aAttempt) -> void;
   auto RecordRequestedPause(const endpoint_call& aCall, const attempt& aAttempt) -> void;
+  /// Records the rate limit that the endpoint names in its answer.
   auto RecordRateLimit(const endpoint_call& aCall, const attempt& aAttempt) -> void;
   /// Precondition: aDecision names an endpoint.
   auto LogDispatch(const dispatch_decision& aDecision) -> void;
--- a/packages/gateway/src/exchange_second_attempt.cpp
+++ b/packages/gateway/src/exchange_second_attempt.cpp
@@ -60,7 +60,8 @@
   std::array<bool, 2> mIsRunning{ true, false };
   /// What the attempts that have ended mean for the request; empty for one that was cancelled.
   std::array<std::optional<execution_outcome>, 2> mOutcomes;
-  /// The attempt whose answer is forwarded; empty while both may still answer.
+  /// The attempt whose answer is forwarded; empty while either may still answer, also when a
+  /// takeover has begun in the middle of a stream.
   std::optional<std::size_t> mWinner;
   /// The attempt that ended last.
   std::size_t mLast = 0;
@@ -163,6 +164,7 @@
     if (aAttempts.mWinner) {
       // The first endpoint has answered in the meantime.
       mState.mEndpoints.End(aAttempts.mSecond->mId, attempt_result::Abandoned, ReadBootClock());
+      mState.mDispatchWaiter.Wake();
       continue;
     }
     aAttempts.mIsRunning[1] = true;
@@ -237,15 +239,19 @@
 
 auto exchange::TakeOver(const attempt& aSilent, time_point aNow) -> bool
 {
-  if (mParallelAttempts == nullptr || HasRival(aSilent) || mParallelAttempts->mIsSecondDue ||
-      mParallelAttempts->IndexOf(aSilent) != 0 || mSends >= kMaxSends || !MayRetry()) {
+  if (mParallelAttempts == nullptr || mSends >= kMaxSends || !MayRetry()) {
+    return false;
+  }
+  auto& attempts = *mParallelAttempts;
+  const auto isAlone =
+    attempts.IndexOf(aSilent) == 0 && !attempts.mIsSecondDue && !attempts.mIsRunning[1];
+  if (!isAlone || IsOvertaken(aSilent)) {
     return false;
   }
   auto other = mState.mDispatchWaiter.Queue().Preview(TicketForOthers(), aNow);
   if (!other || !MayStart(other->mExpected.mEnd) || IsQuarantined(aNow) || !TakeRetry()) {
     return false;
   }
-  auto& attempts = *mParallelAttempts;
   mState.mLog.Write(log_priority::Notable,
                     "takeover_sent",
                     { { "request", mMetadata.mId },
