Close abandoned connections before anything is read from them

Cause: an entry accepts one connection for each round of its event loop, in order of arrival, and found only after reading and parsing the request that its caller had left.

Evidence: the test, 30 connections that are abandoned before the gateway runs and a caller behind them, saw 30 requests read (`caller_gone`) before the change and sees none now. The check before a request is served stays for connections that are kept, and has a test of its own.

Why it works: the operating system knows that a caller has left although its request is unread. Such connections are closed in a row, up to 256, without a session, and the first that is still open is served in the same round. A connection without a request yet is served as before; a test holds that. A caller that shuts down its sending side counts as gone, as it did before.

These requests have no id and no line of their own any more, so the number of connections is counted and logged.

--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -5,6 +5,7 @@
 #include "http_get_server.h"
 #include "peer_channel.h"
 #include "peer_codec.h"
+#include "socket_options.h"
 #include "with_timeout.h"
 
 #include <bronzering/base/boot_clock.h>
@@ -16,6 +17,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace bronzering {
 
@@ -24,6 +26,8 @@
 constexpr auto kUseTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 /// Interval at which pooled connections and expired items are removed and gauges are updated.
 constexpr auto kMaintenanceInterval = std::chrono::milliseconds(250);
+/// Abandoned connections that are closed in a row. Bounds how long they hold up everything else.
+constexpr auto kMaxAbandonedInRow = 256;
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(50);
 /// Delay before items are fetched from a peer. Most often the entry's own source delivers them
@@ -67,6 +71,7 @@
 
   auto Start() -> outcome<void>;
   auto AcceptCallers() -> boost::asio::awaitable<void>;
+  auto StartSession(boost::asio::ip::tcp::socket aSocket) -> void;
   auto RunMaintenance() -> boost::asio::awaitable<void>;
   /// Ends the process when all callers have been answered, or at the end of the shutdown.
   auto DrainAndStop() -> boost::asio::awaitable<void>;
@@ -97,6 +102,8 @@
   http_get_server mReadinessServer;
   http_get_server mOperatorServer;
   std::set<std::shared_ptr<caller_session>> mSessions;
+  /// Connections that were abandoned since the last line about them.
+  std::size_t mAbandonedUnlogged = 0;
   bool mIsFetching = false;
   /// The next fetch asks for all items, since an answer with only what has changed could not be
   /// used, or may take longer, since the last one was not there in time.
@@ -141,25 +148,40 @@
 {
   while (mCallerAcceptor.is_open()) {
     auto [error, socket] = co_await mCallerAcceptor.async_accept(kUseTuple);
+    // After a flood, most of the connections that wait have been abandoned. They are closed at
+    // once, so that those behind them don't wait for a round of the event loop for each.
+    for (auto count = 0; !error && count < kMaxAbandonedInRow && IsHungUp(socket); ++count) {
+      mShared.mMetrics.Counter("bronzering_connections_abandoned_total").Add();
+      ++mAbandonedUnlogged;
+      socket = mCallerAcceptor.accept(error);
+    }
+    if (error == boost::asio::error::would_block) {
+      continue;
+    }
     if (error) {
       auto pause = boost::asio::steady_timer(mShared.mContext);
       pause.expires_after(kAcceptRetryDelay);
       co_await pause.async_wait(kUseTuple);
       continue;
     }
-    if (mSessions.size() >= mShared.mSettings.mMaxConnections) {
-      mShared.mMetrics.Counter("bronzering_connections_turned_away_total").Add();
-      continue;
-    }
-    auto session = std::make_shared<caller_session>(mShared, std::move(socket));
-    mSessions.insert(session);
-    boost::asio::co_spawn(
-      mShared.mContext,
-      [session]() { return session->Run(); },
-      [self = shared_from_this(), session](std::exception_ptr /*aFailure*/) {
-        self->mSessions.erase(session);
-      });
+    StartSession(std::move(socket));
+  }
+}
+
+auto entry_gateway::state::StartSession(boost::asio::ip::tcp::socket aSocket) -> void
+{
+  if (mSessions.size() >= mShared.mSettings.mMaxConnections) {
+    mShared.mMetrics.Counter("bronzering_connections_turned_away_total").Add();
+    return;
   }
+  auto session = std::make_shared<caller_session>(mShared, std::move(aSocket));
+  mSessions.insert(session);
+  boost::asio::co_spawn(
+    mShared.mContext,
+    [session]() { return session->Run(); },
+    [self = shared_from_this(), session](std::exception_ptr /*aFailure*/) {
+      self->mSessions.erase(session);
+    });
 }
 
 auto entry_gateway::state::RunMaintenance() -> boost::asio::awaitable<void>
@@ -170,6 +192,12 @@
     co_await timer.async_wait(kUseTuple);
     const auto now = ReadBootClock();
     ApplyDeferredChanges();
+    if (const auto count = std::exchange(mAbandonedUnlogged, 0); count > 0) {
+      mShared.mLog.Write(log_priority::Notable,
+                         "connections_abandoned",
+                         { { "count", count }, { "sessions", mSessions.size() } },
+                         now);
+    }
     auto endpoints = std::vector<std::string>();
     for (const auto& endpoint : mShared.mEndpoints.Endpoints()) {
       endpoints.push_back(endpoint.mId);
--- a/packages/gateway/src/http_get_server.cpp
+++ b/packages/gateway/src/http_get_server.cpp
@@ -103,6 +103,9 @@
   if (!error) {
     aAcceptor.listen(kBacklog, error);
   }
+  if (!error) {
+    aAcceptor.non_blocking(true, error);
+  }
   if (error) {
     return boost::leaf::new_error(
       io_failure{ "cannot listen on " + aListen + ": " + error.message() });
--- a/packages/gateway/src/socket_options.cpp
+++ b/packages/gateway/src/socket_options.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -55,6 +56,12 @@
   return Peek(aSocket) == peeked::End;
 }
 
+auto IsHungUp(boost::asio::ip::tcp::socket& aSocket) -> bool
+{
+  auto asked = pollfd{ aSocket.native_handle(), POLLRDHUP, 0 };
+  return ::poll(&asked, 1, 0) > 0 && (asked.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 auto AbortSocket(boost::asio::ip::tcp::socket& aSocket) -> void
 {
   auto ignored = boost::system::error_code();
--- a/packages/gateway/src/socket_options.h
+++ b/packages/gateway/src/socket_options.h
@@ -17,6 +17,9 @@
 /// before that. Asks the operating system, so it holds also while the event loop is late.
 [[nodiscard]] auto IsClosedByPeer(boost::asio::ip::tcp::socket& aSocket) -> bool;
 
+/// Whether the other side has closed or reset the connection, also behind bytes that are unread.
+[[nodiscard]] auto IsHungUp(boost::asio::ip::tcp::socket& aSocket) -> bool;
+
 /// Whether an idle connection is still open and has nothing to read.
 [[nodiscard]] auto IsOpenAndIdle(boost::asio::ip::tcp::socket& aSocket) -> bool;
 
--- a/packages/gateway/tests/entry_gateway_test.cpp
+++ b/packages/gateway/tests/entry_gateway_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 using namespace bronzering;
@@ -446,3 +447,80 @@
     CHECK(endpoint.Requests().size() == 1);
   });
 }
+
+// The same on a connection that is kept, which isn't asked when it is accepted.
+TEST_CASE("a request on a kept connection whose caller has left reaches no endpoint",
+          "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", CompleteAnswer);
+  fixture.Publish(TestDocument(), { endpoint.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto caller = boost::asio::ip::tcp::socket(fixture.Context());
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), fixture.CallerPort() });
+    const auto first = RequestText("/again/x", "", "r1");
+    boost::asio::write(caller, boost::asio::buffer(first));
+    co_await Pause(100ms);
+    REQUIRE(endpoint.Requests().size() == 1);
+    REQUIRE(caller.available() > 0);
+    auto answer = std::string(caller.available(), ' ');
+    boost::asio::read(caller, boost::asio::buffer(answer));
+
+    // All of this happens before the gateway runs again.
+    const auto abandoned = RequestText("/again/x", "", "r2");
+    boost::asio::write(caller, boost::asio::buffer(abandoned));
+    caller.close();
+    co_await Pause(100ms);
+    CHECK(endpoint.Requests().size() == 1);
+  });
+}
+
+// After a flood, entries were busy for five seconds with connections whose callers had left, and
+// the callers that came behind them reached their deadlines.
+TEST_CASE("connections that were abandoned before they are accepted are not read",
+          "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", CompleteAnswer);
+  fixture.Publish(TestDocument(), { endpoint.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    // All of this happens before the gateway runs again.
+    constexpr auto kAbandoned = 30U;
+    const auto gateway = boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                                        fixture.CallerPort());
+    const auto abandoned = RequestText("/again/x", "", "left");
+    for (auto caller = 0U; caller < kAbandoned; ++caller) {
+      auto socket = boost::asio::ip::tcp::socket(fixture.Context());
+      socket.connect(gateway);
+      boost::asio::write(socket, boost::asio::buffer(abandoned));
+      socket.close();
+    }
+
+    auto text = RequestText("/again/x", "", "waiting");
+    const auto answer = co_await fixture.Ask(std::move(text));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+    CHECK(fixture.Metrics().Counter("bronzering_connections_abandoned_total").Value() ==
+          kAbandoned);
+    CHECK(fixture.Metrics().Render().find("outcome=\"caller_gone\"") == std::string::npos);
+  });
+}
+
+// The opposite fault: a connection without a request yet is no abandoned one.
+TEST_CASE("a connection that is accepted before its request arrives is served", "[entry_gateway]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", CompleteAnswer);
+  fixture.Publish(TestDocument(), { endpoint.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto caller = test_caller(fixture.Context());
+    co_await caller.Connect(fixture.CallerPort());
+    co_await Pause(50ms);
+    auto text = RequestText("/again/x");
+    co_await caller.Send(std::move(text));
+    const auto answer = co_await caller.Read();
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+    CHECK(fixture.Metrics().Counter("bronzering_connections_abandoned_total").Value() == 0);
+  });
+}
