--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -42,45 +42,51 @@
   return ports;
 }
 
-auto ServeScript(tcp::socket aSocket,
+auto ServeScript(std::shared_ptr<tcp::socket> aConnection,
                  std::weak_ptr<tcp::acceptor> aAcceptor,
+                 std::shared_ptr<scripted_endpoint::connections> aConnections,
                  scripted_endpoint::script aScript,
                  std::shared_ptr<std::vector<http_request>> aRequests,
                  std::shared_ptr<int> aDisconnects) -> boost::asio::awaitable<void>
 {
+  auto& socket = *aConnection;
   auto buffer = boost::beast::flat_buffer();
   for (;;) {
     auto request = http_request();
-    auto [error, count] = co_await http::async_read(aSocket, buffer, request, kUseTuple);
+    auto [error, count] = co_await http::async_read(socket, buffer, request, kUseTuple);
     if (error) {
       co_return;
     }
     aRequests->push_back(request);
     const auto reaction = aScript(request);
-    co_await boost::asio::async_write(aSocket, boost::asio::buffer(reaction.mText), kUseTuple);
+    co_await boost::asio::async_write(socket, boost::asio::buffer(reaction.mText), kUseTuple);
     if (!reaction.mLater.empty()) {
       co_await Pause(reaction.mSilence);
-      co_await boost::asio::async_write(aSocket, boost::asio::buffer(reaction.mLater), kUseTuple);
+      co_await boost::asio::async_write(socket, boost::asio::buffer(reaction.mLater), kUseTuple);
     }
     if (reaction.mEnding == scripted_endpoint::ending::Crash) {
       if (const auto acceptor = aAcceptor.lock()) {
         acceptor->close();
       }
-      AbortSocket(aSocket);
+      for (const auto& connection : *aConnections) {
+        if (const auto open = connection.lock()) {
+          AbortSocket(*open);
+        }
+      }
       co_return;
     }
     if (reaction.mEnding == scripted_endpoint::ending::Endless) {
       const auto filler = std::string(64UL * 1024, reaction.mText.back());
       for (auto failure = boost::system::error_code(); !failure;) {
         auto [writeError, written] =
-          co_await boost::asio::async_write(aSocket, boost::asio::buffer(filler), kUseTuple);
+          co_await boost::asio::async_write(socket, boost::asio::buffer(filler), kUseTuple);
         failure = writeError;
       }
       ++*aDisconnects;
       co_return;
     }
     if (reaction.mEnding == scripted_endpoint::ending::Reset) {
-      AbortSocket(aSocket);
+      AbortSocket(socket);
       co_return;
     }
     if (reaction.mEnding == scripted_endpoint::ending::Close) {
@@ -88,7 +94,7 @@
     }
     if (reaction.mEnding == scripted_endpoint::ending::Hang) {
       auto byte = char();
-      co_await aSocket.async_read_some(boost::asio::buffer(&byte, 1), kUseTuple);
+      co_await socket.async_read_some(boost::asio::buffer(&byte, 1), kUseTuple);
       ++*aDisconnects;
       co_return;
     }
@@ -96,6 +102,7 @@
 }
 
 auto AcceptAll(std::shared_ptr<tcp::acceptor> aAcceptor,
+               std::shared_ptr<scripted_endpoint::connections> aConnections,
                scripted_endpoint::script aScript,
                std::shared_ptr<std::vector<http_request>> aRequests,
                std::shared_ptr<int> aDisconnects) -> boost::asio::awaitable<void>
@@ -105,9 +112,11 @@
     if (error) {
       co_return;
     }
+    const auto connection = std::make_shared<tcp::socket>(std::move(socket));
+    aConnections->push_back(connection);
     boost::asio::co_spawn(
       aAcceptor->get_executor(),
-      ServeScript(std::move(socket), aAcceptor, aScript, aRequests, aDisconnects),
+      ServeScript(connection, aAcceptor, aConnections, aScript, aRequests, aDisconnects),
       boost::asio::detached);
   }
 }
@@ -143,9 +152,11 @@
       std::make_shared<tcp::acceptor>(aContext,
                                       tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)))
 {
-  boost::asio::co_spawn(aContext,
-                        AcceptAll(mAcceptor, std::move(aScript), mRequests, mDisconnects),
-                        boost::asio::detached);
+  boost::asio::co_spawn(
+    aContext,
+    AcceptAll(
+      mAcceptor, std::make_shared<connections>(), std::move(aScript), mRequests, mDisconnects),
+    boost::asio::detached);
 }
 
 auto scripted_endpoint::Listed() const -> listed_endpoint
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -38,7 +38,7 @@
     Hang,
     /// Repeats the text's last bytes until the other side closes.
     Endless,
-    /// Resets the connection and accepts no more connections, like a process that has crashed.
+    /// Resets all connections and accepts no more, like a process that has crashed.
     Crash
   };
   struct reaction
@@ -50,6 +50,7 @@
     std::chrono::milliseconds mSilence{};
   };
   using script = std::function<reaction(const http_request& aRequest)>;
+  using connections = std::vector<std::weak_ptr<boost::asio::ip::tcp::socket>>;
 
   scripted_endpoint(boost::asio::io_context& aContext, std::string aId, script aScript);
   [[nodiscard]] auto Listed() const -> listed_endpoint;
