Keep requests that crash endpoints from further endpoints

What callers saw: one request, sent again with new ids, crashed one endpoint after another. Each crash broke off the answers of sound requests at that endpoint, and left too few endpoints for others.

Cause: a crash was held against the prompt parts that its victims share, and against nothing else they have in common. Requests without such parts left no evidence, and neither did streams with two events or more, though a request can crash its endpoint at any event.

Each request has a key of its own service, organisation, method, target and body, whatever its id. Every attempt that a crash broke off counts against its request's key, and against its prompt parts as before if the endpoint had not begun to answer. A response that came to its regular end clears the key, except one that ends with its connection, which a crash looks like, and 429 and 503, with which the endpoint may not have begun the request. Requests are judged when they arrive, again when they get a place, and before each repeat, takeover and hedge. A repeat waits until the endpoint that broke off is known to have crashed or not, which takes one connection attempt; without that the third crash of a request was followed by one sending more.

The log and the metrics tell a suspected request from a suspected part.

--- a/packages/gateway/src/crash_monitor.cpp
+++ b/packages/gateway/src/crash_monitor.cpp
@@ -10,6 +10,9 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace bronzering {
 
 namespace {
@@ -37,16 +40,31 @@
 }
 
 auto crash_monitor::OnBrokenAttempt(const endpoint_table::choice& aEndpoint,
-                                    std::vector<prompt_part_key> aParts) -> void
+                                    std::vector<prompt_part_key> aKeys,
+                                    bool aWasAnswering) -> void
 {
   const auto crash = HashEndpointIncarnation(aEndpoint.mId, aEndpoint.mIncarnation);
-  const auto [broken, isFirst] = mBrokenAttempts.try_emplace(crash);
-  broken->second.push_back(std::move(aParts));
+  const auto [check, isFirst] = mChecks.try_emplace(crash);
+  check->second.mAttempts.push_back({ std::move(aKeys), aWasAnswering });
   if (isFirst) {
+    check->second.mEnd = std::make_shared<boost::asio::steady_timer>(
+      mContext, boost::asio::steady_timer::time_point::max());
     boost::asio::co_spawn(mContext, Check(aEndpoint, crash), boost::asio::detached);
   }
 }
 
+auto crash_monitor::AwaitCheck(const endpoint_table::choice& aEndpoint)
+  -> boost::asio::awaitable<void>
+{
+  const auto check = mChecks.find(HashEndpointIncarnation(aEndpoint.mId, aEndpoint.mIncarnation));
+  if (check == mChecks.end()) {
+    co_return;
+  }
+  const auto end = check->second.mEnd;
+  co_await WithTimeout(end->async_wait(boost::asio::as_tuple(boost::asio::use_awaitable)),
+                       kMaxCheckWait);
+}
+
 auto crash_monitor::Check(endpoint_table::choice aEndpoint, crash_id aCrash)
   -> boost::asio::awaitable<void>
 {
@@ -58,21 +76,25 @@
       kConnectTimeout);
     isRefused = connected && std::get<0>(*connected) == boost::asio::error::connection_refused;
   }
-  const auto attempts = std::move(mBrokenAttempts.extract(aCrash).mapped());
+  const auto check = std::move(mChecks.extract(aCrash).mapped());
+  const auto& attempts = check.mAttempts;
+  const auto unanswered = std::count_if(
+    attempts.begin(), attempts.end(), [](const auto& aAttempt) { return !aAttempt.mWasAnswering; });
   const auto now = ReadBootClock();
   mLog.Write(log_priority::Notable,
              isRefused ? "endpoint_crashed" : "endpoint_broke_off",
              { { "endpoint", aEndpoint.mId },
                { "address", aEndpoint.mAddress },
-               { "unanswered", attempts.size() } },
+               { "broken_off", attempts.size() },
+               { "unanswered", unanswered } },
              now);
-  if (!isRefused) {
-    co_return;
-  }
-  mMetrics.Counter("bronzering_endpoint_crashes_total").Add();
-  for (const auto& parts : attempts) {
-    mQuarantine.OnCrash(aCrash, parts, now);
+  if (isRefused) {
+    mMetrics.Counter("bronzering_endpoint_crashes_total").Add();
+    for (const auto& attempt : attempts) {
+      mQuarantine.OnCrash(aCrash, attempt.mKeys, now);
+    }
   }
+  check.mEnd->cancel();
 }
 
 } // namespace bronzering
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -206,6 +206,12 @@
     mState.mHedges.OnRequest(mService);
   }
   mState.mDemand.OnEvent(ReadBootClock());
+  mRequestKey = HashWholeRequest(
+    mService,
+    mOrganisation == nullptr ? std::string_view() : mOrganisation->mName,
+    std::string_view(mRequest.method_string().data(), mRequest.method_string().size()),
+    std::string_view(mRequest.target().data(), mRequest.target().size()),
+    mRequest.body());
   mRequest = ForwardedRequest(std::move(mRequest), mState.mHeaderNames);
   co_return true;
 }
@@ -213,17 +219,11 @@
 auto exchange::Run() -> boost::asio::awaitable<void>
 {
   for (;;) {
-    const auto verdict = mState.mQuarantine.Judge(mPartKeys, ReadBootClock());
+    auto verdict = JudgeSending();
     if (verdict.mRejectedPart) {
       co_await RefuseQuarantined(verdict);
       co_return;
     }
-    if (verdict.mIsTrial) {
-      mState.mLog.Write(log_priority::Notable,
-                        "quarantine_trial",
-                        { { "request", mMetadata.mId } },
-                        ReadBootClock());
-    }
     const auto queued = ReadBootClock();
     const auto decision = co_await mState.mDispatchWaiter.Wait(Ticket());
     mDecision = decision;
@@ -251,6 +251,16 @@
       co_await AnswerStopping();
       co_return;
     }
+    // Endpoints may have crashed while the request waited.
+    if (!verdict.mIsTrial) {
+      verdict = JudgeSending();
+      if (verdict.mRejectedPart) {
+        mState.mEndpoints.End(mId, attempt_result::Abandoned, ReadBootClock());
+        mState.mDispatchWaiter.Wake();
+        co_await RefuseQuarantined(verdict);
+        co_return;
+      }
+    }
     // Units are taken only now: those of requests that wait and may still be refused would be
     // missing to others of the organisation.
     if (mSpentUnits == 0) {
@@ -289,6 +299,8 @@
       }
       co_return;
     }
+    // If the endpoint has crashed, that counts against the next attempt.
+    co_await mState.mCrashMonitor.AwaitCheck(current.mEndpoint);
   }
 }
 
@@ -482,6 +494,7 @@
 
   // A 5xx response is retried if the route allows it and forwarded otherwise. A stream that has
   // started cannot change its status any more.
+  RecordRegularEnd(aCall);
   const auto isError = aCall.Status() >= 500;
   aResult = isError ? attempt_result::Failed : attempt_result::Answered;
   if (aCall.Status() >= 200 && aCall.Status() < 300) {
@@ -574,6 +587,9 @@
       co_return execution_outcome::MayHaveExecuted;
     }
     const auto isFramedEnd = bytes->empty() && !aCall.EndsWithConnection();
+    if (bytes->empty()) {
+      RecordRegularEnd(aCall);
+    }
     if (!isAnswering && (attemptEvents >= kAnsweringEvents || isFramedEnd)) {
       isAnswering = true;
       mState.mQuarantine.OnAnswer(mPartKeys, now);
@@ -647,13 +663,18 @@
 auto exchange::RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
   -> boost::asio::awaitable<void>
 {
-  constexpr auto kReason = std::string_view("a part of the prompt crashed endpoints");
+  const auto isPart = *aVerdict.mRejectedPart < mPartKeys.size();
+  const auto reason = isPart ? std::string_view("a part of the prompt crashed endpoints")
+                             : std::string_view("the request crashed endpoints");
   mQuarantineVerdict = aVerdict;
-  mState.mMetrics.Counter("bronzering_quarantine_refusals_total").Add();
+  mState.mMetrics
+    .Counter(isPart ? "bronzering_quarantine_refusals_total"
+                    : "bronzering_request_quarantine_refusals_total")
+    .Add();
   if (mExecutions > 0) {
-    co_await Fail(502, kReason);
+    co_await Fail(502, reason);
   } else {
-    co_await RefuseFor(503, kReason, aVerdict.mRetryAfter);
+    co_await RefuseFor(503, reason, aVerdict.mRetryAfter);
   }
 }
 
@@ -662,9 +683,43 @@
   // The gateway itself aborts attempts that stall.
   const auto brokeOff =
     aAttempt.mReadError && aAttempt.mReadError != boost::asio::error::operation_aborted;
-  if (brokeOff && aAttempt.mEvents < kAnsweringEvents && !mPartKeys.empty()) {
-    mState.mCrashMonitor.OnBrokenAttempt(aAttempt.mEndpoint, mPartKeys);
+  if (!brokeOff) {
+    return;
   }
+  // Once it is answering, the endpoint has read the prompt, but may still crash on the request.
+  const auto wasAnswering = aAttempt.mEvents >= kAnsweringEvents;
+  mState.mCrashMonitor.OnBrokenAttempt(aAttempt.mEndpoint,
+                                       wasAnswering ? std::vector<prompt_part_key>{ mRequestKey }
+                                                    : QuarantineKeys(),
+                                       wasAnswering);
+}
+
+auto exchange::RecordRegularEnd(const endpoint_call& aCall) -> void
+{
+  // A crash ends a response without a length like its regular end does, and an endpoint that
+  // answers that it is overloaded has not begun the request.
+  const auto isOverloaded = aCall.Status() == 429 || aCall.Status() == 503;
+  if (!aCall.EndsWithConnection() && !isOverloaded) {
+    mState.mQuarantine.OnRequestAnswered(mRequestKey, ReadBootClock());
+  }
+}
+
+auto exchange::JudgeSending() -> prompt_quarantine::verdict
+{
+  const auto now = ReadBootClock();
+  const auto verdict = mState.mQuarantine.Judge(QuarantineKeys(), now);
+  if (verdict.mIsTrial) {
+    mState.mLog.Write(
+      log_priority::Notable, "quarantine_trial", { { "request", mMetadata.mId } }, now);
+  }
+  return verdict;
+}
+
+auto exchange::QuarantineKeys() const -> std::vector<prompt_part_key>
+{
+  auto keys = mPartKeys;
+  keys.push_back(mRequestKey);
+  return keys;
 }
 
 auto exchange::Refuse(unsigned aStatus, std::string_view aReason, std::optional<duration> aExpected)
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -166,8 +166,8 @@
   /// Lets another endpoint take over from a silent one, if there is one that can and a retry may be
   /// taken. The silent attempt goes on until the other one has answered.
   auto TakeOver(const attempt& aSilent, time_point aNow) -> bool;
-  /// Whether a part of the prompt has become suspect. If not, a request that is only admitted as a
-  /// trial counts as sent.
+  /// Whether the request or a part of its prompt has become suspect. If not, a request that is only
+  /// admitted as a trial counts as sent.
   [[nodiscard]] auto IsQuarantined(time_point aNow) -> bool;
   /// Chooses the endpoint of a hedge, and takes the retry for it. Empty if none may be sent now.
   [[nodiscard]] auto TakeHedge(const parallel_attempts& aAttempts, time_point aNow)
@@ -217,11 +217,17 @@
   /// it has to wait for a place there.
   [[nodiscard]] auto CanEndElsewhere(time_point aNow) const -> bool;
 
-  /// Refuses a request with a quarantined part.
+  /// Decides whether the request may be sent now, and logs a trial.
+  [[nodiscard]] auto JudgeSending() -> prompt_quarantine::verdict;
+  /// The keys under which the request may be suspected: its prompt parts, then itself.
+  [[nodiscard]] auto QuarantineKeys() const -> std::vector<prompt_part_key>;
+  /// Refuses a request that is quarantined or has a quarantined part.
   auto RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
     -> boost::asio::awaitable<void>;
-  /// Passes on what an attempt says about the parts of the prompt.
+  /// Passes on that the endpoint broke the attempt off, if that is so.
   auto ReportBrokenAttempt(const attempt& aAttempt) -> void;
+  /// Passes on that a response came to its regular end.
+  auto RecordRegularEnd(const endpoint_call& aCall) -> void;
   /// Refuses the request. aExpected is the time after which it could be served; empty if that is
   /// not known.
   auto Refuse(unsigned aStatus, std::string_view aReason, std::optional<duration> aExpected)
@@ -286,7 +292,9 @@
   std::string mService;
   /// The shared parts of the prompt; set at admission.
   std::vector<prompt_part_key> mPartKeys;
-  /// Why the request was refused, if a part of its prompt is quarantined.
+  /// Identifies the request with its caller and body, whatever its id; set at admission.
+  prompt_part_key mRequestKey = 0;
+  /// Why the request was refused, if it or a part of its prompt is quarantined.
   std::optional<prompt_quarantine::verdict> mQuarantineVerdict;
   /// Quota units that were taken from the organisation's limit. Refuse returns them to the limit.
   double mSpentUnits = 0;
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -78,7 +78,11 @@
     aLine["rate_limited"] = limited;
   }
   if (mQuarantineVerdict) {
-    aLine["suspected_part"] = mMetadata.mSharedParts[*mQuarantineVerdict->mRejectedPart];
+    if (const auto at = *mQuarantineVerdict->mRejectedPart; at < mMetadata.mSharedParts.size()) {
+      aLine["suspected_part"] = mMetadata.mSharedParts[at];
+    } else {
+      aLine["suspected_request"] = true;
+    }
     aLine["crashes"] = mQuarantineVerdict->mCrashes;
   }
   if (mSpentUnits > 0 || mRefusedUnits > 0) {
--- a/packages/gateway/src/exchange_second_attempt.cpp
+++ b/packages/gateway/src/exchange_second_attempt.cpp
@@ -271,7 +271,7 @@
 
 auto exchange::IsQuarantined(time_point aNow) -> bool
 {
-  return !mPartKeys.empty() && mState.mQuarantine.Judge(mPartKeys, aNow).mRejectedPart;
+  return mState.mQuarantine.Judge(QuarantineKeys(), aNow).mRejectedPart.has_value();
 }
 
 auto exchange::TakeHedge(const parallel_attempts& aAttempts, time_point aNow)
@@ -289,7 +289,7 @@
       !TakeRetry()) {
     return std::nullopt;
   }
-  // A part of the prompt may have become suspect since the first attempt.
+  // The request or a part of its prompt may have become suspect since the first attempt.
   if (IsQuarantined(aNow)) {
     return std::nullopt;
   }
--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -1,10 +1,15 @@
+#include "captured_output.h"
 #include "gateway_harness.h"
 
+#include <boost/json/parse.hpp>
+
 #include <catch2/catch.hpp>
 
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
+#include <memory>
+#include <sstream>
 
 using namespace bronzering;
 using namespace std::chrono_literals;
@@ -155,3 +160,167 @@
     CHECK(fleet.Reached() <= allowed);
   });
 }
+
+// A sound request that was at the endpoints when another crashed them was taken for the cause.
+TEST_CASE("a request that crashes of another one broke off is served when it comes again",
+          "[crashing_request]")
+{
+  auto fixture = gateway_fixture();
+  // Holds sound streams open until the crash.
+  const auto hold = [](const http_request& aRequest) {
+    return CrashesEndpoints(aRequest) ? reaction{ "", ending::Crash }
+                                      : reaction{ Events(aRequest, 1, 3), ending::Hang };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "first", hold);
+  auto second = scripted_endpoint(fixture.Context(), "second", hold);
+  fixture.Run([&]() -> awaitable<void> {
+    for (auto* endpoint : { &first, &second }) {
+      fixture.Publish(TestDocument(), { endpoint->Listed() });
+      auto sound = std::optional<test_caller::answer>();
+      StartAsk(fixture, RequestText("/stream/sound", "", "sound"), sound);
+      while (endpoint->Requests().empty()) {
+        co_await Pause(5ms);
+      }
+      auto text = RequestText("/once/crashing", "", "crashing");
+      co_await fixture.Ask(std::move(text));
+      co_await Pause(kBetweenCrashes);
+    }
+    auto fleet = scripted_fleet(fixture);
+    auto text = RequestText("/stream/sound", "", "again");
+    const auto answer = co_await fixture.Ask(std::move(text));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+  });
+}
+
+// Requests that have only their path, or only their body, in common with the cause were rejected.
+TEST_CASE("requests that differ from the crashing one in body or caller are served",
+          "[crashing_request]")
+{
+  auto document = TestDocument();
+  document.mOrganisations.push_back({ "bulbs", { "other" } });
+  auto fixture = gateway_fixture();
+  // The same body is sound where another organisation sends it.
+  const auto script = [](const http_request& aRequest) {
+    return aRequest["Organisation"] == "bulbs"
+             ? reaction{ SealedAnswer(aRequest, "whole"), ending::Keep }
+             : CrashOnRequest(aRequest);
+  };
+  auto fleet = scripted_fleet(fixture, script, document);
+  fixture.Run([&]() -> awaitable<void> {
+    for (auto id = 0; id < 2; ++id) {
+      auto text = PostText("/once/x", std::to_string(id), "crashing order");
+      co_await fixture.Ask(std::move(text));
+      co_await Pause(kBetweenCrashes);
+    }
+    auto text = PostText("/once/x", "same", "crashing order");
+    auto answer = co_await fixture.Ask(std::move(text));
+    CHECK(IsRefused(answer));
+    text = PostText("/once/x", "body", "sound order");
+    answer = co_await fixture.Ask(std::move(text));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+    text = PostText("/once/x", "caller", "crashing order", "other");
+    answer = co_await fixture.Ask(std::move(text));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+  });
+}
+
+// Broken connections are no crashes, and must not keep a request from being served.
+TEST_CASE("a request whose connections are reset without a crash is not suspected",
+          "[crashing_request]")
+{
+  auto fixture = gateway_fixture();
+  auto fleet = scripted_fleet(fixture, [](const http_request&) {
+    return reaction{ "", ending::Reset };
+  });
+  fixture.Run([&]() -> awaitable<void> {
+    for (auto id = 0; id < 4; ++id) {
+      auto text = RequestText("/once/crashing", "", std::to_string(id));
+      const auto answer = co_await fixture.Ask(std::move(text));
+      REQUIRE(answer);
+      CHECK(answer->mStatus == 502);
+      co_await Pause(kBetweenCrashes / 2);
+    }
+    CHECK(fleet.Reached() == 4);
+  });
+}
+
+// Crashes that have another cause must not keep a request from being served that was answered in
+// between.
+TEST_CASE("a complete answer clears a request of earlier crashes", "[crashing_request]")
+{
+  auto path = std::string();
+  SECTION("a lookup")
+  {
+    path = "/again/crashing";
+  }
+  SECTION("a stream")
+  {
+    path = "/stream/crashing";
+  }
+  auto count = 0;
+  const auto script = [&count](const http_request& aRequest) {
+    ++count;
+    return count == 1 || count == 4
+             ? reaction{ "", ending::Crash }
+             : reaction{ SealedAnswer(aRequest, "id: 1\ndata: whole\n\n"), ending::Keep };
+  };
+  auto document = TestDocument();
+  for (auto& route : document.mRoutes) {
+    route.mMaxAttempts = 1;
+  }
+  auto fixture = gateway_fixture();
+  auto fleet = scripted_fleet(fixture, script, document);
+  fixture.Run([&]() -> awaitable<void> {
+    for (auto id = 0; id < 6; ++id) {
+      auto text = RequestText(path, "", std::to_string(id));
+      const auto answer = co_await fixture.Ask(std::move(text));
+      co_await Pause(kBetweenCrashes / 3);
+      const auto isServed = answer && answer->mStatus == 200;
+      CHECK(isServed == (id != 0 && id != 3));
+    }
+    CHECK(fleet.Reached() == 6);
+  });
+}
+
+// The log could not tell a request that crashes endpoints from a prompt part that does.
+TEST_CASE("a refused request is logged with its crashes", "[crashing_request]")
+{
+  auto output = captured_output();
+  auto fixture = std::make_unique<gateway_fixture>();
+  auto fleet = std::make_unique<scripted_fleet>(*fixture);
+  fixture->Run([&]() -> awaitable<void> {
+    for (auto id = 0; id < 3; ++id) {
+      auto text = RequestText("/stream/crashing", "Prompt-Parts: a:10,b:5\r\n", std::to_string(id));
+      co_await fixture->Ask(std::move(text));
+      co_await Pause(kBetweenCrashes);
+    }
+  });
+  CHECK(fixture->Metrics().Counter("bronzering_request_quarantine_refusals_total").Value() == 1);
+  CHECK(fixture->Metrics().Counter("bronzering_quarantine_refusals_total").Value() == 0);
+  const auto log = output.Drain([&] {
+    fleet.reset();
+    fixture.reset();
+  });
+  auto crashes = 0;
+  auto refusals = 0;
+  auto lines = std::istringstream(log);
+  for (auto text = std::string(); std::getline(lines, text);) {
+    const auto line = boost::json::parse(text).as_object();
+    if (line.at("event") == "endpoint_crashed") {
+      ++crashes;
+      CHECK(line.at("broken_off") == 1);
+      CHECK(line.at("unanswered") == 0);
+    }
+    if (line.at("event") == "request_ended" && line.at("outcome") == "refused") {
+      ++refusals;
+      CHECK(line.at("suspected_request") == true);
+      CHECK(!line.contains("suspected_part"));
+      CHECK(line.at("crashes") == 2);
+    }
+  }
+  CHECK(crashes == 2);
+  CHECK(refusals == 1);
+}
