Test that a request is judged again when it gets a place

Guards against a request that waits for a place while its equals crash endpoints, and is then sent to one more.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -492,9 +492,9 @@
     body += *part;
   }
 
+  RecordRegularEnd(aCall);
   // A 5xx response is retried if the route allows it and forwarded otherwise. A stream that has
   // started cannot change its status any more.
-  RecordRegularEnd(aCall);
   const auto isError = aCall.Status() >= 500;
   aResult = isError ? attempt_result::Failed : attempt_result::Answered;
   if (aCall.Status() >= 200 && aCall.Status() < 300) {
--- a/packages/gateway/tests/crashing_request_test.cpp
+++ b/packages/gateway/tests/crashing_request_test.cpp
@@ -324,3 +324,59 @@
   CHECK(crashes == 2);
   CHECK(refusals == 1);
 }
+
+// A request that had crashed endpoints while it waited for a place was sent to one more.
+TEST_CASE("a request that becomes suspect while it waits for a place is refused",
+          "[crashing_request]")
+{
+  auto fixture = gateway_fixture();
+  const auto crashLate = [](const http_request&) {
+    return reaction{ "", ending::Crash, "HTTP/1.1", 300ms };
+  };
+  const auto hold = [](const http_request& aRequest) {
+    return reaction{ "", ending::Keep, SealedAnswer(aRequest, "held"), 700ms };
+  };
+  auto first = scripted_endpoint(fixture.Context(), "first", crashLate);
+  auto second = scripted_endpoint(fixture.Context(), "second", crashLate);
+  auto busy = scripted_endpoint(fixture.Context(), "busy", hold);
+  const auto oneSlot = [](const scripted_endpoint& aEndpoint) {
+    auto listed = aEndpoint.Listed();
+    listed.mSlots = 1;
+    return listed;
+  };
+  auto document = TestDocument();
+  for (auto& route : document.mRoutes) {
+    // Less urgent than other routes, it needs a free slot.
+    route.mPriority = route.mName == "once" ? 1 : 0;
+  }
+  fixture.Run([&]() -> awaitable<void> {
+    fixture.Publish(document, { oneSlot(first) });
+    auto text = PostText("/once/x", "0", "crashing order");
+    co_await fixture.Ask(std::move(text));
+    co_await Pause(kBetweenCrashes);
+
+    auto held = std::optional<test_caller::answer>();
+    auto crashed = std::optional<test_caller::answer>();
+    auto waiting = std::optional<test_caller::answer>();
+    fixture.Publish(document, { oneSlot(busy) });
+    StartAsk(fixture, PostText("/once/x", "held", "sound order"), held);
+    while (busy.Requests().empty()) {
+      co_await Pause(5ms);
+    }
+    fixture.Publish(document, { oneSlot(busy), oneSlot(second) });
+    StartAsk(fixture, PostText("/once/x", "1", "crashing order"), crashed);
+    while (second.Requests().empty()) {
+      co_await Pause(5ms);
+    }
+    StartAsk(fixture, PostText("/once/x", "2", "crashing order"), waiting);
+    co_await Pause(kSettle);
+    CHECK(!waiting);
+    // The one that has crashed is not offered again.
+    fixture.Publish(document, { oneSlot(busy) });
+    while (!waiting || !held) {
+      co_await Pause(5ms);
+    }
+    CHECK(IsRefused(waiting));
+    CHECK(busy.Requests().size() == 1);
+  });
+}
