--- a/packages/gateway/src/exchange_second_attempt.cpp
+++ b/packages/gateway/src/exchange_second_attempt.cpp
@@ -285,12 +285,9 @@
                                               HedgeClass(),
                                               aNow - aAttempts.mFirst.mStarted,
                                               aNow);
+  // A part of the prompt, or the request itself, may have become suspect since the first attempt.
   if (!choice || !MayStart(choice->mExpected.mEnd) || mResponseWriter.IsCallerGone() ||
-      !TakeRetry()) {
-    return std::nullopt;
-  }
-  // The request or a part of its prompt may have become suspect since the first attempt.
-  if (IsQuarantined(aNow)) {
+      IsQuarantined(aNow) || !TakeRetry()) {
     return std::nullopt;
   }
   return choice;
