Let silent streams outlast a missed health check

Callers of a model service lost answers in the making: a call that still processed its prompt, or was paused by a slow caller, was cancelled and failed 2 s after its busy engine had missed a single health check.

Cause: a failed health check marks all streams interrupted, and only the next byte cleared the mark. Once the engine was up again the agent asked to resume the stream, which the engine client rightly ignores while the call goes on, and 2 s after the missed check the agent cancelled the call. The certain answer was given up for a resumption that never took place.

Evidence: the new test failed before, with cancel_on_engine and the outcome Failed for both calls.

Change: when the engine is up again, only calls that have failed, or left a gap, are resumed and stay under the limit of 2 s. The others go on.

--- a/packages/coordination/src/agent_answers.cpp
+++ b/packages/coordination/src/agent_answers.cpp
@@ -56,6 +56,7 @@
   }
   if (!request->mAnswer.OnData(aData.mOffset, std::move(aData.mBytes), aData.mGeneratedTokens)) {
     mDecisions.Add(aNow, aData.mRequest, "gap");
+    request->mHasCallFailed = true;
     MarkInterrupted(*request, aNow);
     return;
   }
@@ -121,6 +122,7 @@
   }
 
   if (IsModel()) {
+    request->mHasCallFailed = true;
     MarkInterrupted(*request, aNow);
   } else {
     EndAnswer(*request, answer_outcome::Failed, aNow);
@@ -155,7 +157,8 @@
   mDecisions.Add(aNow, {}, aHealth.mUp ? "endpoint_up" : "endpoint_down");
 
   // All streams of a model engine that went down are interrupted, even if their connections have
-  // not failed yet. They are resumed when the engine is up again.
+  // not failed yet. Those whose calls have failed are resumed when the engine is up again. The
+  // others go on: a busy engine may miss a health check and still be at work.
   for (const auto id : mRunning) {
     auto& request = mRequests.find(id)->second;
     if (!IsModel() || request.mEnd) {
@@ -163,8 +166,10 @@
     }
     if (!aHealth.mUp) {
       MarkInterrupted(request, aNow);
-    } else if (request.mInterruptedSince) {
+    } else if (request.mHasCallFailed) {
       request.mResumeAt = aNow.mMonotonic;
+    } else {
+      ClearInterruption(request, aNow);
     }
   }
   if (!aHealth.mUp) {
@@ -191,6 +196,7 @@
   if (aRequest.mInterruptedSince) {
     mDecisions.Add(aNow, aRequest.mTicket.mRequest, "resumed");
     aRequest.mInterruptedSince.reset();
+    aRequest.mHasCallFailed = false;
     aRequest.mResumeAt.reset();
   }
 }
--- a/packages/coordination/src/agent_state.h
+++ b/packages/coordination/src/agent_state.h
@@ -71,8 +71,10 @@
   bool mPaused = false;
   /// The caller or its entry is gone: the endpoint finishes the call, and its response is dropped.
   bool mDiscarded = false;
-  /// Set while the stream from the endpoint is interrupted.
+  /// Set while the stream from the endpoint is interrupted, or may be since the endpoint is down.
   std::optional<time_point> mInterruptedSince;
+  /// Whether the call to the endpoint has failed since then. Otherwise it still goes on.
+  bool mHasCallFailed = false;
   /// Time of the next attempt to resume an interrupted stream.
   std::optional<time_point> mResumeAt;
   /// Time at which the model stream of an entry whose session was lost is cancelled.
--- a/packages/coordination/tests/agent_node_test.cpp
+++ b/packages/coordination/tests/agent_node_test.cpp
@@ -312,6 +312,34 @@
   CHECK(agent.ActionsOf<answer_end>()[0].mOutcome == answer_outcome::Failed);
 }
 
+// Guards against cancelling an answer in the making: a call that had sent nothing for 2 s after its
+// busy engine missed one health check was ended, although it went on.
+TEST_CASE("silent streams outlast a missed health check of their engine", "[agent]")
+{
+  auto agent = agent_harness{};
+  // The first one still processes its prompt, and the second one is paused by its caller.
+  agent.Run(agent.Ticket(1));
+  agent.Run(agent.Ticket(2));
+  agent.Send(window{ agent.Id(2), 3 });
+  agent.SendEngineEvent(engine_answer_head{ agent.Id(2), 200, {} });
+  agent.SendEngineEvent(engine_answer_data{ agent.Id(2), 0, "abcd", 1 });
+  agent.SendEngineEvent(engine_health{ false });
+  agent.AdvanceTime(500ms);
+  agent.SendEngineEvent(engine_health{ true });
+  agent.AdvanceTime(5s);
+  CHECK(agent.ActionsOf<cancel_on_engine>().empty());
+  CHECK(agent.ActionsOf<answer_end>().empty());
+
+  agent.Send(window{ agent.Id(2), 100 });
+  agent.SendEngineEvent(engine_answer_head{ agent.Id(1), 200, {} });
+  agent.End(1);
+  agent.End(2);
+  const auto ends = agent.ActionsOf<answer_end>();
+  REQUIRE(ends.size() == 2);
+  CHECK(ends[0].mOutcome == answer_outcome::Completed);
+  CHECK(ends[1].mOutcome == answer_outcome::Completed);
+}
+
 // Guards against a decline, which states that the request did not run, without proof of that.
 TEST_CASE("a call that never reached the endpoint is declined, a broken one fails", "[agent]")
 {
