Keep the tickets of requests that a declined credit would end

Callers of a non-idempotent service got 503 for requests that had a place in an agent's queue.

Cause: a waiting request withdrew its tickets as soon as another agent offered a credit. Agents may decline a dispatch on a credit, and a request without a key is dispatched only once, so a decline ended it.

Evidence: the new test failed before: the tickets were withdrawn and the request was dispatched on the credit.

Change: such a request uses no credit while it holds a ticket. An agent with room grants the ticket at once, so little time is lost.

--- a/packages/coordination/src/entry_routing.cpp
+++ b/packages/coordination/src/entry_routing.cpp
@@ -230,6 +230,14 @@
   if (!aRequest.mAnnouncements.empty() && !CanAssignNewId(aRequest)) {
     return false;
   }
+  // An agent may decline a dispatch on a credit, which ends a request that is dispatched only once.
+  const auto mayRetry = aRequest.mIdempotent || aRequest.mKey;
+  const auto hasTicket = std::any_of(aRequest.mAnnouncements.begin(),
+                                     aRequest.mAnnouncements.end(),
+                                     [](const auto& aKnown) { return !aKnown.mDeclined; });
+  if (!mayRetry && hasTicket) {
+    return false;
+  }
   for (const auto& candidate : aCandidates) {
     if (candidate.mScore > aCandidates.front().mScore + kCreditTolerance) {
       break;
--- a/packages/coordination/tests/entry_request_test.cpp
+++ b/packages/coordination/tests/entry_request_test.cpp
@@ -173,6 +173,26 @@
   CHECK(refused[0].mRunState == run_state::NotRun);
 }
 
+// Guards against refusing a request that has a place in a queue: it left its tickets for a credit,
+// which the agent may decline, and cannot be dispatched again after that.
+TEST_CASE("a non-idempotent request without a key keeps its tickets when a credit arrives",
+          "[entry]")
+{
+  auto entry = entry_harness{};
+  const auto agent = entry.ConnectAgent("s1");
+  entry.SubmitRequest("/orders");
+  const auto id = entry.TakeSent<ticket>().at(0).second.mRequest;
+  entry.DeliverMessage(agent, credit{ "orders", { { 9 } }, std::chrono::seconds(1) });
+  entry.ConnectAgent("s2");
+  entry.Advance(std::chrono::milliseconds(25));
+  CHECK(entry.TakeSent<dispatch>().empty());
+  CHECK(entry.TakeSent<withdraw>().empty());
+
+  entry.DeliverMessage(agent, GrantFor(id, 1));
+  REQUIRE(entry.TakeSent<dispatch>().size() == 1);
+  CHECK(entry.Take<refuse_request>().empty());
+}
+
 // Guards against requests that stall, or are reported as NotRun, after the agent's session is lost:
 // waiting requests move to another agent, and the outcome of dispatched ones is unknown.
 TEST_CASE("a lost session moves tickets and makes the outcome of dispatched requests unknown",
