Print why a gateway of a test could not start

Two of six runs of all gateway tests ended with "no free ports" for an entry at a second address, and nothing told which port was taken or why.

--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -260,7 +260,10 @@
       BOOST_LEAF_CHECK(mGateway->Start());
       return true;
     },
-    [](const io_failure&) { return false; },
+    [](const io_failure& aFailure) {
+      UNSCOPED_INFO(aFailure.mWhat);
+      return false;
+    },
     [] { return false; });
 }
 
