--- a/packages/dispatch/include/bronzering/dispatch/prompt_quarantine.h
+++ b/packages/dispatch/include/bronzering/dispatch/prompt_quarantine.h
@@ -17,6 +17,15 @@
 using prompt_part_key = std::uint64_t;
 [[nodiscard]] auto HashPromptPart(std::string_view aService, std::string_view aPart)
   -> prompt_part_key;
+/// The key of a whole request: two requests have the same key if all arguments are equal. aCaller
+/// is the organisation's name, or empty. Keys of requests have kRequestKeyBit set, those of parts
+/// have not, so that peers can tell them apart.
+[[nodiscard]] auto HashWholeRequest(std::string_view aService,
+                                    std::string_view aCaller,
+                                    std::string_view aMethod,
+                                    std::string_view aTarget,
+                                    std::string_view aBody) -> prompt_part_key;
+constexpr auto kRequestKeyBit = prompt_part_key{ 1 } << 63U;
 
 /// Identifies a crash by the incarnation of the endpoint that it ended.
 using crash_id = endpoint_incarnation_key;
@@ -93,6 +102,9 @@
     -> void;
   /// Records that an endpoint has answered a request with aParts.
   auto OnAnswer(const std::vector<prompt_part_key>& aParts, time_point aNow) -> void;
+  /// Records that a response to the whole request aRequest came to its regular end. A rejection
+  /// that says that the request has not run is no such response.
+  auto OnRequestAnswered(prompt_part_key aRequest, time_point aNow) -> void;
   /// Merges evidence of a peer.
   auto Merge(const std::vector<crash_evidence>& aEvidence, time_point aNow) -> void;
   /// Decides about a request with aParts. An admitted trial counts as sent.
--- a/packages/dispatch/src/prompt_quarantine.cpp
+++ b/packages/dispatch/src/prompt_quarantine.cpp
@@ -39,7 +39,20 @@
 
 auto HashPromptPart(std::string_view aService, std::string_view aPart) -> prompt_part_key
 {
-  return CombineHashes(HashText(aService), HashText(aPart));
+  return CombineHashes(HashText(aService), HashText(aPart)) & ~kRequestKeyBit;
+}
+
+auto HashWholeRequest(std::string_view aService,
+                      std::string_view aCaller,
+                      std::string_view aMethod,
+                      std::string_view aTarget,
+                      std::string_view aBody) -> prompt_part_key
+{
+  auto hash = HashText(aService);
+  for (const auto field : { aCaller, aMethod, aTarget, aBody }) {
+    hash = CombineHashes(hash, HashText(field));
+  }
+  return hash | kRequestKeyBit;
 }
 
 auto prompt_quarantine::OnCrash(crash_id aCrash,
@@ -73,6 +86,11 @@
   }
 }
 
+auto prompt_quarantine::OnRequestAnswered(prompt_part_key aRequest, time_point aNow) -> void
+{
+  OnAnswer({ aRequest }, aNow);
+}
+
 auto prompt_quarantine::Merge(const std::vector<crash_evidence>& aEvidence, time_point aNow) -> void
 {
   for (const auto& evidence : aEvidence) {
--- a/packages/dispatch/tests/digest_fleet.cpp
+++ b/packages/dispatch/tests/digest_fleet.cpp
@@ -1,5 +1,7 @@
 #include "digest_fleet.h"
 
+#include <bronzering/base/hash.h>
+
 #include <algorithm>
 
 namespace bronzering {
@@ -10,6 +12,12 @@
 constexpr auto kOrganisation = "shop";
 constexpr auto kRequest = token_work{ 1'000, 200 };
 
+/// Entries make their trials at different times, as gateways do.
+auto TrialDelay(const std::string& aAddress) -> double
+{
+  return 0.25 * static_cast<double>(HashText(aAddress) % 256) / 256;
+}
+
 auto ZoneName(std::size_t aZone) -> std::string
 {
   return "zone-" + std::to_string(aZone);
@@ -22,6 +30,7 @@
                                            std::uint64_t aIncarnation)
   : mPeers(aAddress, HashZone(aZone))
   , mEndpoints(aZone, aAddress)
+  , mQuarantine(TrialDelay(aAddress))
   , mExchange(aAddress,
               HashZone(aZone),
               aIncarnation,
