Keep requests that crash endpoints from further ones

A request that a caller sends again crashed endpoint after endpoint, since the victims beside it displaced its crashes from the digests and no entry learned of a second one.

The quarantine now knows whole requests apart from prompt parts: suspected by two crashes that span a second, spared by an explanation only below three crashes, cleared when a response has ended; nothing is kept of answered requests without evidence. Digests carry the keys with most crashes for one half, then what the entry itself has seen, three times each, then all keys in turn. Keys with few crashes give way to keys with more. Judge returns the key with the longest quarantine and sets the next trial of each due key.

--- a/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
+++ b/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
@@ -29,8 +29,8 @@
   static constexpr auto kIntervalPerPeer = std::chrono::milliseconds(5);
   /// Every how many digests one is full: it carries all totals, learned speeds and known peers.
   static constexpr auto kFullDigestEvery = 20U;
-  /// Number of digests that repeat changed crash evidence or rate limits, and of full digests for a
-  /// new peer, since messages may be lost.
+  /// Number of digests that repeat changed rate limits, and of full digests for a new peer, since
+  /// messages may be lost.
   static constexpr auto kRepeats = 3U;
   /// Maximum numbers of rows of crash evidence and statements on rate limits in one digest.
   static constexpr std::size_t kMaxEvidence = 48;
@@ -87,7 +87,7 @@
   [[nodiscard]] auto OwnDigest(const entry_status& aStatus, time_point aNow) -> peer_digest;
   /// Returns the totals that differ from those sent last.
   auto ChangedUsage(std::vector<organisation_usage> aTotals) -> std::vector<organisation_usage>;
-  /// Sets how many of the next digests carry crash evidence and statements on rate limits.
+  /// Sets how many of the next digests carry statements on rate limits.
   auto UpdateRepeats() -> void;
   auto RepeatRateLimits() -> void;
   /// Applies what a digest says of endpoints. It is merged by its age, so it counts whatever other
@@ -106,11 +106,8 @@
   std::unordered_map<std::uint64_t, double> mSentTotals;
   /// How many of the next digests are full whatever their sequence.
   std::uint32_t mFullRepeats = 0;
-  /// prompt_quarantine::OwnChanges at the last digest, and how many more digests repeat the
-  /// evidence.
-  std::uint64_t mSentEvidenceChanges = 0;
-  std::uint32_t mEvidenceRepeats = 0;
-  /// The same for endpoint_rate_limiter::OwnChanges and the statements on rate limits.
+  /// endpoint_rate_limiter::OwnChanges at the last digest, and how many more digests repeat the
+  /// statements on rate limits.
   std::uint64_t mSentRateLimitChanges = 0;
   std::uint32_t mRateLimitRepeats = 0;
 };
--- a/packages/dispatch/src/digest_exchange.cpp
+++ b/packages/dispatch/src/digest_exchange.cpp
@@ -100,9 +100,8 @@
     digest.mOrganisationUsage = ChangedUsage(std::move(digest.mOrganisationUsage));
   }
   UpdateRepeats();
-  if (mEvidenceRepeats > 0 || digest.mIsFull) {
-    digest.mCrashEvidence = mParts.mQuarantine.Evidence(kMaxEvidence, aNow);
-    mEvidenceRepeats -= std::min(mEvidenceRepeats, 1U);
+  if (mParts.mQuarantine.HasNews() || digest.mIsFull) {
+    digest.mCrashEvidence = mParts.mQuarantine.TakeEvidence(kMaxEvidence, aNow);
   }
   if (mRateLimitRepeats > 0 || digest.mIsFull) {
     digest.mRateLimits = mParts.mEndpoints.RateLimits().TakeStatements(kMaxRateLimits, aNow);
@@ -125,10 +124,6 @@
 
 auto digest_exchange::UpdateRepeats() -> void
 {
-  if (mParts.mQuarantine.OwnChanges() != mSentEvidenceChanges) {
-    mSentEvidenceChanges = mParts.mQuarantine.OwnChanges();
-    mEvidenceRepeats = kRepeats;
-  }
   const auto& rateLimits = mParts.mEndpoints.RateLimits();
   if (rateLimits.OwnChanges() != mSentRateLimitChanges) {
     mSentRateLimitChanges = rateLimits.OwnChanges();
--- a/packages/dispatch/src/prompt_quarantine.cpp
+++ b/packages/dispatch/src/prompt_quarantine.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace bronzering {
 
@@ -26,6 +27,11 @@
   return crashes;
 }
 
+auto IsRequest(prompt_part_key aKey) -> bool
+{
+  return (aKey & kRequestKeyBit) != 0;
+}
+
 auto QuarantineTime(std::size_t aCrashes) -> duration
 {
   auto time = duration(prompt_quarantine::kFirstQuarantine);
@@ -60,7 +66,9 @@
                                 time_point aNow) -> void
 {
   for (const auto part : aParts) {
-    mOwnChanges += Add(part, { aCrash, aNow, false }) ? 1 : 0;
+    if (Add(part, { aCrash, aNow, false })) {
+      SetNews(mParts.at(part), kNewsRepeats);
+    }
   }
 }
 
@@ -75,20 +83,17 @@
         }));
     }
     mLastAnswers[part] = aNow;
-    const auto found = mParts.find(part);
-    if (found == mParts.end()) {
-      continue;
-    }
-    for (auto& crash : found->second.mCrashes) {
-      mOwnChanges += crash.mIsRefuted ? 0 : 1;
-      crash.mIsRefuted = true;
-    }
+    Refute(part);
   }
 }
 
 auto prompt_quarantine::OnRequestAnswered(prompt_part_key aRequest, time_point aNow) -> void
 {
-  OnAnswer({ aRequest }, aNow);
+  // Nearly all requests are answered and have no evidence; remembering them would cost memory.
+  if (const auto found = mParts.find(aRequest); found != mParts.end()) {
+    found->second.mLastAnswer = aNow;
+    Refute(aRequest);
+  }
 }
 
 auto prompt_quarantine::Merge(const std::vector<crash_evidence>& aEvidence, time_point aNow) -> void
@@ -98,7 +103,9 @@
     const auto isRefuted = evidence.mIsRefuted || WasAnsweredSince(evidence.mPart, seen);
     const auto isChanged = Add(evidence.mPart, { evidence.mCrash, seen, isRefuted });
     // Only what this entry adds to the evidence is news to the peers.
-    mOwnChanges += isChanged && isRefuted != evidence.mIsRefuted ? 1 : 0;
+    if (isChanged && isRefuted != evidence.mIsRefuted) {
+      SetNews(mParts.at(evidence.mPart), kNewsRepeats);
+    }
   }
 }
 
@@ -106,48 +113,81 @@
   -> verdict
 {
   auto result = verdict();
-  auto* trial = static_cast<part_state*>(nullptr);
+  auto trials = std::vector<part_state*>();
   for (auto at = std::size_t{ 0 }; at < aParts.size(); ++at) {
     const auto found = mParts.find(aParts[at]);
-    if (found == mParts.end() || !IsSuspected(found->first, found->second, aNow) ||
-        IsExplainedWithout(aParts, found->second)) {
+    if (found == mParts.end() || !IsSuspected(found->first, found->second, aNow)) {
       continue;
     }
     auto& state = found->second;
-    if (const auto next = NextTrial(found->first, state, aNow); next > aNow) {
-      return { at, next - aNow, Unrefuted(state.mCrashes).size(), false };
+    if (!IsCondemned(found->first, state) && IsExplainedWithout(aParts, state)) {
+      continue;
+    }
+    const auto wait = NextTrial(found->first, state, aNow) - aNow;
+    if (wait <= duration::zero()) {
+      trials.push_back(&state);
+    } else if (wait > result.mRetryAfter) {
+      result = { at, wait, Unrefuted(state.mCrashes).size(), false };
     }
-    trial = &state;
   }
-  if (trial != nullptr) {
-    trial->mNextTrial = aNow + kTrialTime;
+  if (!result.mRejectedPart && !trials.empty()) {
     result.mIsTrial = true;
+    for (auto* state : trials) {
+      state->mNextTrial = aNow + kTrialTime;
+    }
   }
   return result;
 }
 
 auto prompt_quarantine::RemoveExpired(time_point aNow) -> void
 {
-  std::erase_if(mParts, [aNow](const auto& aEntry) { return Expiry(aEntry.second) <= aNow; });
+  for (auto part = mParts.begin(); part != mParts.end();) {
+    part = Expiry(part->second) <= aNow ? Erase(part) : std::next(part);
+  }
   std::erase_if(mLastAnswers,
                 [aNow](const auto& aEntry) { return aEntry.second + kProvenTime <= aNow; });
 }
 
-auto prompt_quarantine::Evidence(std::size_t aLimit, time_point aNow) const
+auto prompt_quarantine::TakeEvidence(std::size_t aLimit, time_point aNow)
   -> std::vector<crash_evidence>
 {
-  auto states = std::vector<std::pair<std::size_t, prompt_part_key>>();
-  for (const auto& [part, state] : mParts) {
-    states.emplace_back(Unrefuted(state.mCrashes).size(), part);
-  }
-  std::sort(states.rbegin(), states.rend());
+  ++mTaken;
   auto evidence = std::vector<crash_evidence>();
-  for (const auto& [unrefuted, part] : states) {
-    for (const auto& crash : mParts.at(part).mCrashes) {
-      if (evidence.size() >= aLimit) {
-        return evidence;
-      }
-      evidence.push_back({ part, crash.mCrash, aNow - crash.mSeen, crash.mIsRefuted });
+  // Returns whether there was room for the key.
+  const auto take = [&](prompt_part_key aPart, part_state& aState, std::size_t aRoom) {
+    if (aState.mLastTaken == mTaken) {
+      return true;
+    }
+    if (evidence.size() + aState.mCrashes.size() > aRoom) {
+      return false;
+    }
+    for (const auto& crash : aState.mCrashes) {
+      evidence.push_back({ aPart, crash.mCrash, aNow - crash.mSeen, crash.mIsRefuted });
+    }
+    SetNews(aState, aState.mNewsRepeats - std::min(aState.mNewsRepeats, 1U));
+    aState.mLastTaken = mTaken;
+    return true;
+  };
+  // The keys with most crashes, which may be suspected at the peers soon.
+  for (auto at = mRanks.rbegin(); at != mRanks.rend(); ++at) {
+    if (at->mCrashes < kCrashesToSuspect || !take(at->mPart, mParts.at(at->mPart), aLimit / 2)) {
+      break;
+    }
+  }
+  // News first, by what was sent least often; then what was sent least recently.
+  auto order = std::vector<std::tuple<std::uint32_t, std::uint64_t, part_map::iterator>>();
+  for (auto part = mParts.begin(); part != mParts.end(); ++part) {
+    order.emplace_back(kNewsRepeats - part->second.mNewsRepeats, part->second.mLastTaken, part);
+  }
+  std::sort(order.begin(), order.end(), [](const auto& aLeft, const auto& aRight) {
+    const auto& [leftSent, leftTaken, left] = aLeft;
+    const auto& [rightSent, rightTaken, right] = aRight;
+    return std::tuple(leftSent, leftTaken, right->second.mCrashes.front().mSeen, left->first) <
+           std::tuple(rightSent, rightTaken, left->second.mCrashes.front().mSeen, right->first);
+  });
+  for (const auto& [sent, taken, part] : order) {
+    if (!take(part->first, part->second, aLimit)) {
+      break;
     }
   }
   return evidence;
@@ -163,42 +203,99 @@
 
 auto prompt_quarantine::Add(prompt_part_key aPart, const crash_record& aRecord) -> bool
 {
-  MakeRoom(aPart);
-  auto& crashes = mParts[aPart].mCrashes;
+  auto found = mParts.find(aPart);
+  if (found == mParts.end()) {
+    if (!MakeRoom({ aRecord.mIsRefuted ? std::size_t{ 0 } : 1, aRecord.mSeen, aPart })) {
+      return false;
+    }
+    found = mParts.try_emplace(aPart).first;
+  }
+  auto& crashes = found->second.mCrashes;
+  const auto before = crashes.empty() ? std::nullopt : std::optional(RankOf(aPart, found->second));
   const auto known = std::find_if(crashes.begin(), crashes.end(), [&](const auto& aKnown) {
     return aKnown.mCrash == aRecord.mCrash;
   });
   if (known != crashes.end()) {
-    if (aRecord.mIsRefuted && !known->mIsRefuted) {
-      known->mIsRefuted = true;
-      return true;
+    if (!aRecord.mIsRefuted || known->mIsRefuted) {
+      return false;
+    }
+    known->mIsRefuted = true;
+  } else {
+    const auto after = std::find_if(crashes.begin(), crashes.end(), [&](const auto& aKnown) {
+      return aKnown.mSeen < aRecord.mSeen;
+    });
+    // The first crash is kept, so that the span of many crashes does not shrink.
+    if (crashes.size() >= kMaxCrashes && crashes.end() - after == 1) {
+      return false;
+    }
+    crashes.insert(after, aRecord);
+    if (crashes.size() > kMaxCrashes) {
+      crashes.erase(crashes.end() - 2);
     }
-    return false;
   }
-  const auto after = std::find_if(crashes.begin(), crashes.end(), [&](const auto& aKnown) {
-    return aKnown.mSeen < aRecord.mSeen;
-  });
-  if (after == crashes.end() && crashes.size() >= kMaxCrashes) {
+  if (before) {
+    mRanks.erase(*before);
+  }
+  mRanks.insert(RankOf(aPart, found->second));
+  return true;
+}
+
+auto prompt_quarantine::MakeRoom(const rank& aRank) -> bool
+{
+  if (mParts.size() < kMaxParts) {
+    return true;
+  }
+  const auto lowest = *mRanks.begin();
+  if (aRank < lowest) {
     return false;
   }
-  crashes.insert(after, aRecord);
-  crashes.resize(std::min(crashes.size(), kMaxCrashes));
+  Erase(mParts.find(lowest.mPart));
   return true;
 }
 
-auto prompt_quarantine::MakeRoom(prompt_part_key aPart) -> void
+auto prompt_quarantine::Erase(part_map::iterator aPart) -> part_map::iterator
 {
-  if (mParts.size() < kMaxParts || mParts.contains(aPart)) {
+  mRanks.erase(RankOf(aPart->first, aPart->second));
+  SetNews(aPart->second, 0);
+  return mParts.erase(aPart);
+}
+
+auto prompt_quarantine::Refute(prompt_part_key aPart) -> void
+{
+  const auto found = mParts.find(aPart);
+  if (found == mParts.end()) {
     return;
   }
-  mParts.erase(
-    std::min_element(mParts.begin(), mParts.end(), [](const auto& aLeft, const auto& aRight) {
-      return Expiry(aLeft.second) < Expiry(aRight.second);
-    }));
+  auto& [part, state] = *found;
+  if (Unrefuted(state.mCrashes).empty()) {
+    return;
+  }
+  mRanks.erase(RankOf(part, state));
+  for (auto& crash : state.mCrashes) {
+    crash.mIsRefuted = true;
+  }
+  mRanks.insert(RankOf(part, state));
+  SetNews(state, kNewsRepeats);
+}
+
+auto prompt_quarantine::SetNews(part_state& aState, std::uint32_t aRepeats) -> void
+{
+  mNews += aRepeats > 0 ? 1 : 0;
+  mNews -= aState.mNewsRepeats > 0 ? 1 : 0;
+  aState.mNewsRepeats = aRepeats;
+}
+
+auto prompt_quarantine::RankOf(prompt_part_key aPart, const part_state& aState) -> rank
+{
+  return { Unrefuted(aState.mCrashes).size(), aState.mCrashes.front().mSeen, aPart };
 }
 
 auto prompt_quarantine::WasAnsweredSince(prompt_part_key aPart, time_point aSince) const -> bool
 {
+  if (IsRequest(aPart)) {
+    const auto request = mParts.find(aPart);
+    return request != mParts.end() && request->second.mLastAnswer >= aSince;
+  }
   const auto found = mLastAnswers.find(aPart);
   return found != mLastAnswers.end() && found->second >= aSince;
 }
@@ -208,6 +305,10 @@
                                     time_point aNow) const -> bool
 {
   const auto crashes = Unrefuted(aState.mCrashes);
+  if (IsRequest(aPart)) {
+    return crashes.size() >= kCrashesToSuspect &&
+           crashes.front().mSeen - crashes.back().mSeen >= kMinRequestSpan;
+  }
   if (!WasAnsweredSince(aPart, aNow - kProvenTime)) {
     return crashes.size() >= kCrashesToSuspect;
   }
@@ -219,11 +320,12 @@
                                            const part_state& aState) const -> bool
 {
   const auto crashes = Unrefuted(aState.mCrashes);
-  return std::any_of(mParts.begin(), mParts.end(), [&](const auto& aOther) {
-    if (std::find(aParts.begin(), aParts.end(), aOther.first) != aParts.end()) {
+  const auto first = mRanks.lower_bound({ crashes.size(), time_point::min(), 0 });
+  return std::any_of(first, mRanks.end(), [&](const auto& aRank) {
+    if (std::find(aParts.begin(), aParts.end(), aRank.mPart) != aParts.end()) {
       return false;
     }
-    const auto others = Unrefuted(aOther.second.mCrashes);
+    const auto others = Unrefuted(mParts.at(aRank.mPart).mCrashes);
     return std::all_of(crashes.begin(), crashes.end(), [&](const auto& aCrash) {
       return std::any_of(others.begin(), others.end(), [&](const auto& aKnown) {
         return aKnown.mCrash == aCrash.mCrash;
@@ -232,12 +334,17 @@
   });
 }
 
+auto prompt_quarantine::IsCondemned(prompt_part_key aPart, const part_state& aState) -> bool
+{
+  return IsRequest(aPart) && Unrefuted(aState.mCrashes).size() >= kCrashesToCondemn;
+}
+
 auto prompt_quarantine::NextTrial(prompt_part_key aPart,
                                   const part_state& aState,
                                   time_point aNow) const -> time_point
 {
   const auto crashes = Unrefuted(aState.mCrashes);
-  const auto quarantine = WasAnsweredSince(aPart, aNow - kProvenTime)
+  const auto quarantine = !IsRequest(aPart) && WasAnsweredSince(aPart, aNow - kProvenTime)
                             ? duration(kFirstQuarantine)
                             : QuarantineTime(crashes.size());
   const auto end =
--- a/packages/dispatch/tests/digest_fleet.h
+++ b/packages/dispatch/tests/digest_fleet.h
@@ -34,6 +34,7 @@
     entry_process(const std::string& aAddress,
                   const std::string& aZone,
                   std::uint64_t aIncarnation);
+    std::uint64_t mIncarnation;
     peer_table mPeers;
     endpoint_table mEndpoints;
     fleet_rate_limiter mRateLimiter;
