--- a/packages/dispatch/include/bronzering/dispatch.h
+++ b/packages/dispatch/include/bronzering/dispatch.h
@@ -3,6 +3,7 @@
 #include <bronzering/dispatch/answer_time_histogram.h>
 #include <bronzering/dispatch/answer_times.h>
 #include <bronzering/dispatch/configuration_lag.h>
+#include <bronzering/dispatch/crash_quarantine.h>
 #include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/digest_exchange.h>
 #include <bronzering/dispatch/digest_relay.h>
@@ -20,7 +21,6 @@
 #include <bronzering/dispatch/peer_digest.h>
 #include <bronzering/dispatch/peer_table.h>
 #include <bronzering/dispatch/place_plan.h>
-#include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/return_delay.h>
 #include <bronzering/dispatch/route_table.h>
--- a/packages/dispatch/include/bronzering/dispatch/prompt_quarantine.h
+++ b/packages/dispatch/include/bronzering/dispatch/crash_quarantine.h
@@ -15,10 +15,10 @@
 
 namespace bronzering {
 
-/// Identifies a prompt part of one service in messages between peers.
-using prompt_part_key = std::uint64_t;
-[[nodiscard]] auto HashPromptPart(std::string_view aService, std::string_view aPart)
-  -> prompt_part_key;
+/// Identifies what requests that crash endpoints may have in common, in messages between peers: a
+/// prompt part of one service, or a whole request.
+using suspect_key = std::uint64_t;
+[[nodiscard]] auto HashPromptPart(std::string_view aService, std::string_view aPart) -> suspect_key;
 /// The key of a whole request: two requests have the same key if all arguments are equal. aCaller
 /// is the organisation's name, or empty. Keys of requests have kRequestKeyBit set, those of parts
 /// have not, so that peers can tell them apart.
@@ -26,8 +26,8 @@
                                     std::string_view aCaller,
                                     std::string_view aMethod,
                                     std::string_view aTarget,
-                                    std::string_view aBody) -> prompt_part_key;
-constexpr auto kRequestKeyBit = prompt_part_key{ 1 } << 63U;
+                                    std::string_view aBody) -> suspect_key;
+constexpr auto kRequestKeyBit = suspect_key{ 1 } << 63U;
 
 /// Identifies a crash by the incarnation of the endpoint that it ended.
 using crash_id = endpoint_incarnation_key;
@@ -36,7 +36,7 @@
 struct crash_evidence
 {
   /// The request, or a part of its prompt if the endpoint had not begun to answer.
-  prompt_part_key mPart = 0;
+  suspect_key mPart = 0;
   crash_id mCrash = 0;
   /// Time since the crash.
   duration mAge{};
@@ -67,7 +67,7 @@
 /// any peer can pass on what an entry has learned before it restarted. Its size is bounded whatever
 /// callers send; keys with few crashes give way to keys with more, and older ones to newer ones.
 /// Not thread-safe: owned by the control thread.
-class prompt_quarantine
+class crash_quarantine
 {
 public:
   /// Crashes from which on a part is suspected.
@@ -101,7 +101,7 @@
   {
     /// Position of the key for which the request is rejected, the one with the longest quarantine;
     /// empty if it is admitted.
-    std::optional<std::size_t> mRejectedPart;
+    std::optional<std::size_t> mRejectedKey;
     /// For rejections: time until the next trial, and the crashes behind it.
     duration mRetryAfter{};
     std::size_t mCrashes = 0;
@@ -111,25 +111,24 @@
 
   /// aTrialDelay is the share of a quarantine (0 to 1) by which this entry makes its trials later
   /// than the earliest entry, so that entries rarely make them at the same time.
-  explicit prompt_quarantine(double aTrialDelay = 0)
+  explicit crash_quarantine(double aTrialDelay = 0)
     : mTrialDelay(aTrialDelay)
   {
   }
 
   /// Records that a request with the keys aParts was broken off when an endpoint crashed. Parts of
   /// its prompt are among them only if the endpoint had not begun to answer.
-  auto OnCrash(crash_id aCrash, const std::vector<prompt_part_key>& aParts, time_point aNow)
-    -> void;
+  auto OnCrash(crash_id aCrash, const std::vector<suspect_key>& aParts, time_point aNow) -> void;
   /// Records that an endpoint has begun to answer a request with the prompt parts aParts.
-  auto OnAnswer(const std::vector<prompt_part_key>& aParts, time_point aNow) -> void;
+  auto OnAnswer(const std::vector<suspect_key>& aParts, time_point aNow) -> void;
   /// Records that a response to the whole request aRequest came to its regular end. A rejection
   /// that says that the request has not run is no such response.
-  auto OnRequestAnswered(prompt_part_key aRequest, time_point aNow) -> void;
+  auto OnRequestAnswered(suspect_key aRequest, time_point aNow) -> void;
   /// Merges evidence of a peer.
   auto Merge(const std::vector<crash_evidence>& aEvidence, time_point aNow) -> void;
   /// Decides about a request with the keys aParts, its own among them. An admitted trial counts as
   /// sent.
-  [[nodiscard]] auto Judge(const std::vector<prompt_part_key>& aParts, time_point aNow) -> verdict;
+  [[nodiscard]] auto Judge(const std::vector<suspect_key>& aParts, time_point aNow) -> verdict;
   auto RemoveExpired(time_point aNow) -> void;
 
   /// Evidence for peers, at most aLimit entries: of the keys with most crashes first for one half,
@@ -166,40 +165,38 @@
   {
     std::size_t mCrashes = 0;
     time_point mLastCrash;
-    prompt_part_key mPart = 0;
+    suspect_key mPart = 0;
 
     auto operator<=>(const rank&) const = default;
   };
-  using part_map = std::map<prompt_part_key, part_state>;
+  using part_map = std::map<suspect_key, part_state>;
 
   /// Returns whether the evidence has changed.
-  auto Add(prompt_part_key aPart, const crash_record& aRecord) -> bool;
+  auto Add(suspect_key aPart, const crash_record& aRecord) -> bool;
   /// Returns whether there is room for a key of this rank.
   auto MakeRoom(const rank& aRank) -> bool;
   auto Erase(part_map::iterator aPart) -> part_map::iterator;
   /// An answer to a request with the key refutes all its evidence.
-  auto Refute(prompt_part_key aPart) -> void;
+  auto Refute(suspect_key aPart) -> void;
   auto SetNews(part_state& aState, std::uint32_t aRepeats) -> void;
-  [[nodiscard]] static auto RankOf(prompt_part_key aPart, const part_state& aState) -> rank;
-  [[nodiscard]] auto WasAnsweredSince(prompt_part_key aPart, time_point aSince) const -> bool;
-  [[nodiscard]] auto IsSuspected(prompt_part_key aPart,
-                                 const part_state& aState,
-                                 time_point aNow) const -> bool;
+  [[nodiscard]] static auto RankOf(suspect_key aPart, const part_state& aState) -> rank;
+  [[nodiscard]] auto WasAnsweredSince(suspect_key aPart, time_point aSince) const -> bool;
+  [[nodiscard]] auto IsSuspected(suspect_key aPart, const part_state& aState, time_point aNow) const
+    -> bool;
   /// Whether a key outside of aParts was broken off at all of the crashes of aState.
-  [[nodiscard]] auto IsExplainedWithout(const std::vector<prompt_part_key>& aParts,
+  [[nodiscard]] auto IsExplainedWithout(const std::vector<suspect_key>& aParts,
                                         const part_state& aState) const -> bool;
   /// Whether the key is suspected even if another one explains its crashes.
-  [[nodiscard]] static auto IsCondemned(prompt_part_key aPart, const part_state& aState) -> bool;
-  [[nodiscard]] auto NextTrial(prompt_part_key aPart,
-                               const part_state& aState,
-                               time_point aNow) const -> time_point;
+  [[nodiscard]] static auto IsCondemned(suspect_key aPart, const part_state& aState) -> bool;
+  [[nodiscard]] auto NextTrial(suspect_key aPart, const part_state& aState, time_point aNow) const
+    -> time_point;
   [[nodiscard]] static auto Expiry(const part_state& aState) -> time_point;
 
   double mTrialDelay;
   part_map mParts;
   /// One for each key of mParts.
   std::set<rank> mRanks;
-  std::unordered_map<prompt_part_key, time_point> mLastAnswers;
+  std::unordered_map<suspect_key, time_point> mLastAnswers;
   /// Number of keys with mNewsRepeats above zero.
   std::size_t mNews = 0;
   std::uint64_t mTaken = 0;
--- a/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
+++ b/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/crash_quarantine.h>
 #include <bronzering/dispatch/digest_relay.h>
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
 #include <bronzering/dispatch/peer_digest.h>
 #include <bronzering/dispatch/peer_table.h>
-#include <bronzering/dispatch/prompt_quarantine.h>
 
 #include <cstdint>
 #include <string>
@@ -45,7 +45,7 @@
     peer_table& mPeers;
     endpoint_table& mEndpoints;
     fleet_rate_limiter& mRateLimiter;
-    prompt_quarantine& mQuarantine;
+    crash_quarantine& mQuarantine;
   };
   /// What a digest says of the entry itself.
   struct entry_status
--- a/packages/dispatch/include/bronzering/dispatch/peer_digest.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_digest.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <bronzering/base/time.h>
+#include <bronzering/dispatch/crash_quarantine.h>
 #include <bronzering/dispatch/endpoint_rate_limiter.h>
 #include <bronzering/dispatch/endpoint_table.h>
 #include <bronzering/dispatch/fleet_rate_limiter.h>
-#include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/source_position.h>
 
 #include <cstdint>
--- a/packages/dispatch/src/prompt_quarantine.cpp
+++ b/packages/dispatch/src/crash_quarantine.cpp
@@ -1,4 +1,4 @@
-#include <bronzering/dispatch/prompt_quarantine.h>
+#include <bronzering/dispatch/crash_quarantine.h>
 
 #include <bronzering/base/hash.h>
 
@@ -27,23 +27,23 @@
   return crashes;
 }
 
-auto IsRequest(prompt_part_key aKey) -> bool
+auto IsRequest(suspect_key aKey) -> bool
 {
   return (aKey & kRequestKeyBit) != 0;
 }
 
 auto QuarantineTime(std::size_t aCrashes) -> duration
 {
-  auto time = duration(prompt_quarantine::kFirstQuarantine);
-  for (auto crash = prompt_quarantine::kCrashesToSuspect; crash < aCrashes; ++crash) {
-    time *= prompt_quarantine::kQuarantineGrowth;
+  auto time = duration(crash_quarantine::kFirstQuarantine);
+  for (auto crash = crash_quarantine::kCrashesToSuspect; crash < aCrashes; ++crash) {
+    time *= crash_quarantine::kQuarantineGrowth;
   }
-  return std::min<duration>(time, prompt_quarantine::kMaxQuarantine);
+  return std::min<duration>(time, crash_quarantine::kMaxQuarantine);
 }
 
 } // namespace
 
-auto HashPromptPart(std::string_view aService, std::string_view aPart) -> prompt_part_key
+auto HashPromptPart(std::string_view aService, std::string_view aPart) -> suspect_key
 {
   return CombineHashes(HashText(aService), HashText(aPart)) & ~kRequestKeyBit;
 }
@@ -52,7 +52,7 @@
                       std::string_view aCaller,
                       std::string_view aMethod,
                       std::string_view aTarget,
-                      std::string_view aBody) -> prompt_part_key
+                      std::string_view aBody) -> suspect_key
 {
   auto hash = HashText(aService);
   for (const auto field : { aCaller, aMethod, aTarget, aBody }) {
@@ -61,9 +61,9 @@
   return hash | kRequestKeyBit;
 }
 
-auto prompt_quarantine::OnCrash(crash_id aCrash,
-                                const std::vector<prompt_part_key>& aParts,
-                                time_point aNow) -> void
+auto crash_quarantine::OnCrash(crash_id aCrash,
+                               const std::vector<suspect_key>& aParts,
+                               time_point aNow) -> void
 {
   for (const auto part : aParts) {
     if (Add(part, { aCrash, aNow, false })) {
@@ -72,8 +72,7 @@
   }
 }
 
-auto prompt_quarantine::OnAnswer(const std::vector<prompt_part_key>& aParts, time_point aNow)
-  -> void
+auto crash_quarantine::OnAnswer(const std::vector<suspect_key>& aParts, time_point aNow) -> void
 {
   for (const auto part : aParts) {
     if (mLastAnswers.size() >= kMaxProvenParts && !mLastAnswers.contains(part)) {
@@ -87,7 +86,7 @@
   }
 }
 
-auto prompt_quarantine::OnRequestAnswered(prompt_part_key aRequest, time_point aNow) -> void
+auto crash_quarantine::OnRequestAnswered(suspect_key aRequest, time_point aNow) -> void
 {
   // Nearly all requests are answered and have no evidence; remembering them would cost memory.
   if (const auto found = mParts.find(aRequest); found != mParts.end()) {
@@ -96,7 +95,7 @@
   }
 }
 
-auto prompt_quarantine::Merge(const std::vector<crash_evidence>& aEvidence, time_point aNow) -> void
+auto crash_quarantine::Merge(const std::vector<crash_evidence>& aEvidence, time_point aNow) -> void
 {
   for (const auto& evidence : aEvidence) {
     const auto seen = aNow - evidence.mAge;
@@ -109,8 +108,7 @@
   }
 }
 
-auto prompt_quarantine::Judge(const std::vector<prompt_part_key>& aParts, time_point aNow)
-  -> verdict
+auto crash_quarantine::Judge(const std::vector<suspect_key>& aParts, time_point aNow) -> verdict
 {
   auto result = verdict();
   auto trials = std::vector<part_state*>();
@@ -130,7 +128,7 @@
       result = { at, wait, Unrefuted(state.mCrashes).size(), false };
     }
   }
-  if (!result.mRejectedPart && !trials.empty()) {
+  if (!result.mRejectedKey && !trials.empty()) {
     result.mIsTrial = true;
     for (auto* state : trials) {
       state->mNextTrial = aNow + kTrialTime;
@@ -139,7 +137,7 @@
   return result;
 }
 
-auto prompt_quarantine::RemoveExpired(time_point aNow) -> void
+auto crash_quarantine::RemoveExpired(time_point aNow) -> void
 {
   for (auto part = mParts.begin(); part != mParts.end();) {
     part = Expiry(part->second) <= aNow ? Erase(part) : std::next(part);
@@ -148,13 +146,13 @@
                 [aNow](const auto& aEntry) { return aEntry.second + kProvenTime <= aNow; });
 }
 
-auto prompt_quarantine::TakeEvidence(std::size_t aLimit, time_point aNow)
+auto crash_quarantine::TakeEvidence(std::size_t aLimit, time_point aNow)
   -> std::vector<crash_evidence>
 {
   ++mTaken;
   auto evidence = std::vector<crash_evidence>();
   // Returns whether there was room for the key.
-  const auto take = [&](prompt_part_key aPart, part_state& aState, std::size_t aRoom) {
+  const auto take = [&](suspect_key aPart, part_state& aState, std::size_t aRoom) {
     if (aState.mLastTaken == mTaken) {
       return true;
     }
@@ -193,7 +191,7 @@
   return evidence;
 }
 
-auto prompt_quarantine::SuspectCount(time_point aNow) const -> std::size_t
+auto crash_quarantine::SuspectCount(time_point aNow) const -> std::size_t
 {
   return static_cast<std::size_t>(
     std::count_if(mParts.begin(), mParts.end(), [this, aNow](const auto& aEntry) {
@@ -201,7 +199,7 @@
     }));
 }
 
-auto prompt_quarantine::Add(prompt_part_key aPart, const crash_record& aRecord) -> bool
+auto crash_quarantine::Add(suspect_key aPart, const crash_record& aRecord) -> bool
 {
   auto found = mParts.find(aPart);
   if (found == mParts.end()) {
@@ -240,7 +238,7 @@
   return true;
 }
 
-auto prompt_quarantine::MakeRoom(const rank& aRank) -> bool
+auto crash_quarantine::MakeRoom(const rank& aRank) -> bool
 {
   if (mParts.size() < kMaxParts) {
     return true;
@@ -253,14 +251,14 @@
   return true;
 }
 
-auto prompt_quarantine::Erase(part_map::iterator aPart) -> part_map::iterator
+auto crash_quarantine::Erase(part_map::iterator aPart) -> part_map::iterator
 {
   mRanks.erase(RankOf(aPart->first, aPart->second));
   SetNews(aPart->second, 0);
   return mParts.erase(aPart);
 }
 
-auto prompt_quarantine::Refute(prompt_part_key aPart) -> void
+auto crash_quarantine::Refute(suspect_key aPart) -> void
 {
   const auto found = mParts.find(aPart);
   if (found == mParts.end()) {
@@ -278,19 +276,19 @@
   SetNews(state, kNewsRepeats);
 }
 
-auto prompt_quarantine::SetNews(part_state& aState, std::uint32_t aRepeats) -> void
+auto crash_quarantine::SetNews(part_state& aState, std::uint32_t aRepeats) -> void
 {
   mNews += aRepeats > 0 ? 1 : 0;
   mNews -= aState.mNewsRepeats > 0 ? 1 : 0;
   aState.mNewsRepeats = aRepeats;
 }
 
-auto prompt_quarantine::RankOf(prompt_part_key aPart, const part_state& aState) -> rank
+auto crash_quarantine::RankOf(suspect_key aPart, const part_state& aState) -> rank
 {
   return { Unrefuted(aState.mCrashes).size(), aState.mCrashes.front().mSeen, aPart };
 }
 
-auto prompt_quarantine::WasAnsweredSince(prompt_part_key aPart, time_point aSince) const -> bool
+auto crash_quarantine::WasAnsweredSince(suspect_key aPart, time_point aSince) const -> bool
 {
   if (IsRequest(aPart)) {
     const auto request = mParts.find(aPart);
@@ -300,9 +298,9 @@
   return found != mLastAnswers.end() && found->second >= aSince;
 }
 
-auto prompt_quarantine::IsSuspected(prompt_part_key aPart,
-                                    const part_state& aState,
-                                    time_point aNow) const -> bool
+auto crash_quarantine::IsSuspected(suspect_key aPart,
+                                   const part_state& aState,
+                                   time_point aNow) const -> bool
 {
   const auto crashes = Unrefuted(aState.mCrashes);
   if (IsRequest(aPart)) {
@@ -316,8 +314,8 @@
          crashes.front().mSeen - crashes.back().mSeen >= kMinProvenSpan;
 }
 
-auto prompt_quarantine::IsExplainedWithout(const std::vector<prompt_part_key>& aParts,
-                                           const part_state& aState) const -> bool
+auto crash_quarantine::IsExplainedWithout(const std::vector<suspect_key>& aParts,
+                                          const part_state& aState) const -> bool
 {
   const auto crashes = Unrefuted(aState.mCrashes);
   const auto first = mRanks.lower_bound({ crashes.size(), time_point::min(), 0 });
@@ -334,14 +332,13 @@
   });
 }
 
-auto prompt_quarantine::IsCondemned(prompt_part_key aPart, const part_state& aState) -> bool
+auto crash_quarantine::IsCondemned(suspect_key aPart, const part_state& aState) -> bool
 {
   return IsRequest(aPart) && Unrefuted(aState.mCrashes).size() >= kCrashesToCondemn;
 }
 
-auto prompt_quarantine::NextTrial(prompt_part_key aPart,
-                                  const part_state& aState,
-                                  time_point aNow) const -> time_point
+auto crash_quarantine::NextTrial(suspect_key aPart, const part_state& aState, time_point aNow) const
+  -> time_point
 {
   const auto crashes = Unrefuted(aState.mCrashes);
   const auto quarantine = !IsRequest(aPart) && WasAnsweredSince(aPart, aNow - kProvenTime)
@@ -352,7 +349,7 @@
   return std::max(end, aState.mNextTrial);
 }
 
-auto prompt_quarantine::Expiry(const part_state& aState) -> time_point
+auto crash_quarantine::Expiry(const part_state& aState) -> time_point
 {
   const auto unrefuted = Unrefuted(aState.mCrashes).size();
   const auto quarantine =
--- a/packages/dispatch/src/peer_digest.cpp
+++ b/packages/dispatch/src/peer_digest.cpp
@@ -66,7 +66,7 @@
 
 auto RemoveRepeatedEvidence(std::vector<peer_digest>& aDigests) -> void
 {
-  auto evidenceSeen = std::set<std::tuple<prompt_part_key, crash_id, bool>>();
+  auto evidenceSeen = std::set<std::tuple<suspect_key, crash_id, bool>>();
   auto newestStatements = std::map<endpoint_incarnation_key, duration>();
   for (const auto& digest : aDigests) {
     for (const auto& statement : digest.mRateLimits) {
--- a/packages/dispatch/tests/prompt_quarantine_test.cpp
+++ b/packages/dispatch/tests/crash_quarantine_test.cpp
@@ -1,6 +1,6 @@
 #include <bronzering/base/random_source.h>
+#include <bronzering/dispatch/crash_quarantine.h>
 #include <bronzering/dispatch/digest_exchange.h>
-#include <bronzering/dispatch/prompt_quarantine.h>
 
 #include <catch2/catch.hpp>
 
@@ -14,22 +14,22 @@
 const auto kStart = time_point(1h);
 constexpr auto kAll = std::size_t{ 1'000'000 };
 /// Parts of prompts.
-constexpr auto kBad = prompt_part_key{ 1 };
-constexpr auto kShared = prompt_part_key{ 2 };
-constexpr auto kOther = prompt_part_key{ 3 };
+constexpr auto kBad = suspect_key{ 1 };
+constexpr auto kShared = suspect_key{ 2 };
+constexpr auto kOther = suspect_key{ 3 };
 
 /// Whole requests.
 constexpr auto kBadRequest = kRequestKeyBit | 10;
 constexpr auto kSoundRequest = kRequestKeyBit | 11;
 
-auto IsRejected(prompt_quarantine& aQuarantine,
-                const std::vector<prompt_part_key>& aParts,
+auto IsRejected(crash_quarantine& aQuarantine,
+                const std::vector<suspect_key>& aParts,
                 time_point aNow) -> bool
 {
-  return aQuarantine.Judge(aParts, aNow).mRejectedPart.has_value();
+  return aQuarantine.Judge(aParts, aNow).mRejectedKey.has_value();
 }
 
-auto Exchange(prompt_quarantine& aFrom, prompt_quarantine& aTo, time_point aNow) -> void
+auto Exchange(crash_quarantine& aFrom, crash_quarantine& aTo, time_point aNow) -> void
 {
   aTo.Merge(aFrom.TakeEvidence(kAll, aNow), aNow);
 }
@@ -37,29 +37,29 @@
 } // namespace
 
 TEST_CASE("a part that crashed endpoints of different entries is quarantined at all of them",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
-  auto first = prompt_quarantine();
-  auto second = prompt_quarantine();
-  auto third = prompt_quarantine();
+  auto first = crash_quarantine();
+  auto second = crash_quarantine();
+  auto third = crash_quarantine();
   first.OnCrash(100, { kShared, kBad }, kStart);
   second.OnCrash(101, { kOther, kBad }, kStart + 1s);
   Exchange(first, third, kStart + 1s);
   CHECK(!IsRejected(third, { kBad }, kStart + 1s));
   Exchange(second, third, kStart + 1s);
   CHECK(IsRejected(third, { kBad }, kStart + 1s));
-  CHECK(third.Judge({ kOther, kBad }, kStart + 2s).mRejectedPart == std::size_t{ 1 });
+  CHECK(third.Judge({ kOther, kBad }, kStart + 2s).mRejectedKey == std::size_t{ 1 });
 
   // An entry that has restarted learns it from a peer that was not at any of the crashes.
-  auto restarted = prompt_quarantine();
+  auto restarted = crash_quarantine();
   Exchange(third, restarted, kStart + 2s);
   CHECK(IsRejected(restarted, { kBad }, kStart + 2s));
 }
 
-TEST_CASE("several victims of one crash are evidence of one crash", "[prompt_quarantine]")
+TEST_CASE("several victims of one crash are evidence of one crash", "[crash_quarantine]")
 {
-  auto first = prompt_quarantine();
-  auto second = prompt_quarantine();
+  auto first = crash_quarantine();
+  auto second = crash_quarantine();
   first.OnCrash(100, { kBad }, kStart);
   first.OnCrash(100, { kBad }, kStart);
   second.OnCrash(100, { kBad }, kStart + 10ms);
@@ -68,9 +68,9 @@
 }
 
 // Requests that shared another part with the cause were rejected as well.
-TEST_CASE("requests without the part that explains the crashes are admitted", "[prompt_quarantine]")
+TEST_CASE("requests without the part that explains the crashes are admitted", "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   for (auto crash = crash_id{ 100 }; crash < 103; ++crash) {
     quarantine.OnCrash(crash, { kShared, kBad }, kStart);
   }
@@ -86,10 +86,10 @@
   CHECK(!IsRejected(quarantine, { kShared }, kStart + 1s));
 }
 
-TEST_CASE("an answer clears a part at all entries", "[prompt_quarantine]")
+TEST_CASE("an answer clears a part at all entries", "[crash_quarantine]")
 {
-  auto first = prompt_quarantine();
-  auto second = prompt_quarantine();
+  auto first = crash_quarantine();
+  auto second = crash_quarantine();
   first.OnCrash(100, { kShared }, kStart);
   first.OnCrash(101, { kShared }, kStart);
   Exchange(first, second, kStart);
@@ -105,7 +105,7 @@
   }
   SECTION("if an entry that had no part in the crashes has answered it")
   {
-    auto third = prompt_quarantine();
+    auto third = crash_quarantine();
     third.OnAnswer({ kShared }, kStart + 1s);
     Exchange(second, third, kStart + 2s);
     CHECK(!IsRejected(third, { kShared }, kStart + 2s));
@@ -116,9 +116,9 @@
 
 // Endpoints that crash together take requests with sound parts with them.
 TEST_CASE("a simultaneous crash of many endpoints does not quarantine a part that was answered",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   quarantine.OnAnswer({ kShared }, kStart - 10s);
   for (auto crash = crash_id{ 100 }; crash < 108; ++crash) {
     quarantine.OnCrash(crash, { kShared }, kStart + 10ms * (crash - 100));
@@ -127,48 +127,48 @@
 }
 
 TEST_CASE("a part that was answered before is quarantined once it keeps crashing endpoints",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   quarantine.OnAnswer({ kBad }, kStart - 10s);
   for (auto crash = crash_id{ 100 }; crash < 104; ++crash) {
     CHECK(!IsRejected(quarantine, { kBad }, kStart));
     quarantine.OnCrash(crash, { kBad }, kStart + 500ms * (crash - 100));
   }
   const auto verdict = quarantine.Judge({ kBad }, kStart + 2s);
-  CHECK(verdict.mRejectedPart);
-  CHECK(verdict.mRetryAfter <= prompt_quarantine::kFirstQuarantine);
+  CHECK(verdict.mRejectedKey);
+  CHECK(verdict.mRetryAfter <= crash_quarantine::kFirstQuarantine);
 }
 
 TEST_CASE("after the quarantine one trial at a time is made, and a crash prolongs it",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   quarantine.OnCrash(100, { kBad }, kStart);
   quarantine.OnCrash(101, { kBad }, kStart);
   CHECK(quarantine.Judge({ kBad }, kStart + 1s).mRetryAfter ==
-        prompt_quarantine::kFirstQuarantine - 1s);
-  auto now = kStart + prompt_quarantine::kFirstQuarantine;
+        crash_quarantine::kFirstQuarantine - 1s);
+  auto now = kStart + crash_quarantine::kFirstQuarantine;
   const auto trial = quarantine.Judge({ kBad }, now);
   CHECK(trial.mIsTrial);
-  CHECK(!trial.mRejectedPart);
+  CHECK(!trial.mRejectedKey);
   CHECK(IsRejected(quarantine, { kBad }, now));
   quarantine.OnCrash(102, { kBad }, now + 1s);
   CHECK(quarantine.Judge({ kBad }, now + 1s).mRetryAfter ==
-        prompt_quarantine::kFirstQuarantine * prompt_quarantine::kQuarantineGrowth);
+        crash_quarantine::kFirstQuarantine * crash_quarantine::kQuarantineGrowth);
   // A trial whose request was never sent is followed by another.
-  now += 1s + prompt_quarantine::kFirstQuarantine * prompt_quarantine::kQuarantineGrowth;
+  now += 1s + crash_quarantine::kFirstQuarantine * crash_quarantine::kQuarantineGrowth;
   CHECK(quarantine.Judge({ kBad }, now).mIsTrial);
-  now += prompt_quarantine::kTrialTime;
+  now += crash_quarantine::kTrialTime;
   CHECK(quarantine.Judge({ kBad }, now).mIsTrial);
   quarantine.OnAnswer({ kBad }, now + 1s);
   CHECK(!IsRejected(quarantine, { kBad }, now + 1s));
 }
 
 // Three requests with such a part may reach endpoints after the fifth crash.
-TEST_CASE("five crashes keep a part from endpoints for minutes", "[prompt_quarantine]")
+TEST_CASE("five crashes keep a part from endpoints for minutes", "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   for (auto crash = crash_id{ 100 }; crash < 105; ++crash) {
     quarantine.OnCrash(crash, { kShared, kBad }, kStart);
   }
@@ -177,10 +177,10 @@
   }
 }
 
-TEST_CASE("evidence expires, also where peers repeat it", "[prompt_quarantine]")
+TEST_CASE("evidence expires, also where peers repeat it", "[crash_quarantine]")
 {
-  auto first = prompt_quarantine();
-  auto second = prompt_quarantine();
+  auto first = crash_quarantine();
+  auto second = crash_quarantine();
   first.OnCrash(100, { kBad }, kStart);
   for (auto now = kStart; now < kStart + 5min; now += 1s) {
     Exchange(first, second, now);
@@ -192,26 +192,26 @@
   CHECK(second.TakeEvidence(kAll, kStart + 5min).empty());
 }
 
-TEST_CASE("the state stays bounded when callers choose the parts", "[prompt_quarantine]")
+TEST_CASE("the state stays bounded when callers choose the parts", "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   for (auto crash = crash_id{ 100 }; crash < 120; ++crash) {
     quarantine.OnCrash(crash, { kBad }, kStart);
   }
-  for (auto part = prompt_part_key{ 1000 }; part < 10'000; ++part) {
+  for (auto part = suspect_key{ 1000 }; part < 10'000; ++part) {
     quarantine.OnCrash(part, { part }, kStart);
     quarantine.OnAnswer({ part + 100'000 }, kStart);
   }
   CHECK(quarantine.TakeEvidence(kAll, kStart).size() <=
-        prompt_quarantine::kMaxParts + prompt_quarantine::kMaxCrashes);
+        crash_quarantine::kMaxParts + crash_quarantine::kMaxCrashes);
   CHECK(IsRejected(quarantine, { kBad }, kStart));
 }
 
-TEST_CASE("entries that exchange their evidence in any order agree", "[prompt_quarantine]")
+TEST_CASE("entries that exchange their evidence in any order agree", "[crash_quarantine]")
 {
   auto random = random_source(7);
   for (auto round = 0; round < 100; ++round) {
-    auto entries = std::vector<prompt_quarantine>(4);
+    auto entries = std::vector<crash_quarantine>(4);
     const auto pick = [&random](std::size_t aCount) {
       return std::min(static_cast<std::size_t>(random.Uniform01() * static_cast<double>(aCount)),
                       aCount - 1);
@@ -235,7 +235,7 @@
         }
       }
     }
-    for (auto part = prompt_part_key{ 1 }; part <= 4; ++part) {
+    for (auto part = suspect_key{ 1 }; part <= 4; ++part) {
       auto refuted = std::vector<std::vector<std::pair<crash_id, bool>>>();
       for (auto& entry : entries) {
         auto& crashes = refuted.emplace_back();
@@ -252,7 +252,7 @@
 }
 
 TEST_CASE("whole requests that differ in any field have keys of their own, apart from parts",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
   const auto key = HashWholeRequest("s", "c", "GET", "/a", "b");
   CHECK(key == HashWholeRequest("s", "c", "GET", "/a", "b"));
@@ -271,9 +271,9 @@
 }
 
 // A popular request that was at many endpoints which crashed at once was kept from all others.
-TEST_CASE("simultaneous crashes do not quarantine a request", "[prompt_quarantine]")
+TEST_CASE("simultaneous crashes do not quarantine a request", "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   for (auto crash = crash_id{ 100 }; crash < 120; ++crash) {
     quarantine.OnCrash(crash, { kSoundRequest }, kStart + 10ms * (crash - 100));
   }
@@ -287,9 +287,9 @@
 
 // Each of two requests explained the crashes of the other, so that both stayed admitted.
 TEST_CASE("a second victim of the same crashes does not keep the cause admitted",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   for (auto crash = crash_id{ 100 }; crash < 102; ++crash) {
     quarantine.OnCrash(crash, { kShared, kBadRequest }, kStart + 1s * (crash - 100));
     quarantine.OnCrash(crash, { kShared, kSoundRequest }, kStart + 1s * (crash - 100));
@@ -297,16 +297,16 @@
   CHECK(!IsRejected(quarantine, { kSoundRequest }, kStart + 2s));
   quarantine.OnCrash(102, { kShared, kBadRequest }, kStart + 2s);
   CHECK(!IsRejected(quarantine, { kShared, kSoundRequest }, kStart + 2s));
-  CHECK(quarantine.Judge({ kShared, kBadRequest }, kStart + 2s).mRejectedPart);
+  CHECK(quarantine.Judge({ kShared, kBadRequest }, kStart + 2s).mRejectedKey);
   quarantine.OnCrash(102, { kSoundRequest }, kStart + 2s);
   CHECK(IsRejected(quarantine, { kBadRequest }, kStart + 2s));
 }
 
 TEST_CASE("the end of a response clears the request, and nothing is kept of other responses",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
-  auto first = prompt_quarantine();
-  auto second = prompt_quarantine();
+  auto first = crash_quarantine();
+  auto second = crash_quarantine();
   first.OnCrash(100, { kSoundRequest }, kStart);
   Exchange(first, second, kStart + 1s);
   second.OnRequestAnswered(kSoundRequest, kStart + 2s);
@@ -314,32 +314,32 @@
   REQUIRE(IsRejected(first, { kSoundRequest }, kStart + 3s));
   Exchange(second, first, kStart + 3s);
   CHECK(!IsRejected(first, { kSoundRequest }, kStart + 3s));
-  for (auto request = prompt_part_key{ 1000 }; request < 2000; ++request) {
+  for (auto request = suspect_key{ 1000 }; request < 2000; ++request) {
     second.OnRequestAnswered(kRequestKeyBit | request, kStart + 3s);
   }
   CHECK(second.Size() == 1);
 }
 
-TEST_CASE("keys with more crashes stay when callers choose the keys", "[prompt_quarantine]")
+TEST_CASE("keys with more crashes stay when callers choose the keys", "[crash_quarantine]")
 {
-  auto quarantine = prompt_quarantine();
+  auto quarantine = crash_quarantine();
   quarantine.OnCrash(1, { kBadRequest }, kStart);
   quarantine.OnCrash(2, { kBadRequest }, kStart + 1s);
-  for (auto key = prompt_part_key{ 1000 }; key < 10'000; ++key) {
+  for (auto key = suspect_key{ 1000 }; key < 10'000; ++key) {
     quarantine.OnCrash(key, { kRequestKeyBit | key }, kStart + 2s);
   }
-  CHECK(quarantine.Size() == prompt_quarantine::kMaxParts);
+  CHECK(quarantine.Size() == crash_quarantine::kMaxParts);
   CHECK(IsRejected(quarantine, { kBadRequest }, kStart + 3s));
 }
 
 // Messages carried the keys with most crashes only, so that peers never learned of new ones.
 TEST_CASE("new evidence reaches peers beside older evidence with more crashes",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
   constexpr auto kLimit = digest_exchange::kMaxEvidence;
-  auto first = prompt_quarantine();
+  auto first = crash_quarantine();
   for (auto crash = crash_id{ 1 }; crash < 5; ++crash) {
-    for (auto key = prompt_part_key{ 1000 }; key < 1100; ++key) {
+    for (auto key = suspect_key{ 1000 }; key < 1100; ++key) {
       first.OnCrash(crash, { kRequestKeyBit | key }, kStart + 1s * crash);
     }
   }
@@ -347,7 +347,7 @@
     REQUIRE(first.TakeEvidence(kLimit, kStart + 5s).size() <= kLimit);
   }
   first.OnCrash(100, { kBadRequest }, kStart + 6s);
-  auto second = prompt_quarantine();
+  auto second = crash_quarantine();
   second.Merge(first.TakeEvidence(kLimit, kStart + 6s), kStart + 6s);
   second.OnCrash(101, { kBadRequest }, kStart + 7s);
   CHECK(IsRejected(second, { kBadRequest }, kStart + 7s));
--- a/packages/dispatch/tests/crashing_request_test.cpp
+++ b/packages/dispatch/tests/crashing_request_test.cpp
@@ -1,7 +1,7 @@
 #include "digest_fleet.h"
 
 #include <bronzering/base/random_source.h>
-#include <bronzering/dispatch/prompt_quarantine.h>
+#include <bronzering/dispatch/crash_quarantine.h>
 
 #include <catch2/catch.hpp>
 
@@ -73,7 +73,7 @@
                  .mIsPopular = isPopular });
       }
       for (auto due = Arrivals(mOptions.mCrashingRate); due > 0; --due) {
-        auto keys = std::vector<prompt_part_key>{ RequestKey(kCrashing + mOptions.mSeed) };
+        auto keys = std::vector<suspect_key>{ RequestKey(kCrashing + mOptions.mSeed) };
         for (auto part = mOptions.mCrashingParts; part > 0; --part) {
           keys.insert(keys.begin(), PartKey(part - 1));
         }
@@ -115,7 +115,7 @@
 
   struct request
   {
-    std::vector<prompt_part_key> mKeys;
+    std::vector<suspect_key> mKeys;
     bool mIsCrashing = false;
     bool mIsPopular = false;
     int mReturns = 0;
@@ -141,11 +141,11 @@
     fleet.mLoss = aOptions.mLoss;
     return fleet;
   }
-  static auto PartKey(std::uint64_t aPart) -> prompt_part_key
+  static auto PartKey(std::uint64_t aPart) -> suspect_key
   {
     return HashPromptPart("model", std::to_string(aPart));
   }
-  static auto RequestKey(std::uint64_t aNumber) -> prompt_part_key
+  static auto RequestKey(std::uint64_t aNumber) -> suspect_key
   {
     return HashWholeRequest("model", "shop", "POST", "/answer", std::to_string(aNumber));
   }
@@ -170,7 +170,7 @@
       return;
     }
     aRequest.mIncarnation = process->mIncarnation;
-    if (process->mQuarantine.Judge(aRequest.mKeys, now).mRejectedPart) {
+    if (process->mQuarantine.Judge(aRequest.mKeys, now).mRejectedKey) {
       if (!aRequest.mIsCrashing) {
         ++mOutcome.mSoundRejected;
         const auto since = mRejectedSince.try_emplace(aRequest.mKeys.back(), now).first->second;
@@ -234,7 +234,7 @@
     }
   }
 
-  static auto Parts(const request& aRequest) -> std::vector<prompt_part_key>
+  static auto Parts(const request& aRequest) -> std::vector<suspect_key>
   {
     return { aRequest.mKeys.begin(), aRequest.mKeys.end() - 1 };
   }
@@ -271,7 +271,7 @@
   std::vector<endpoint> mEndpoints;
   std::multimap<time_point, request> mReturns;
   std::multimap<time_point, std::pair<crash_id, request>> mReports;
-  std::map<prompt_part_key, time_point> mRejectedSince;
+  std::map<suspect_key, time_point> mRejectedSince;
   std::uint64_t mRequests = 0;
   crash_id mCrash = 1000;
   time_point mThirdCrash;
@@ -367,7 +367,7 @@
     run.RunFor(20s);
     Print(isSeries ? "own, series" : "own, at once", options, run.Outcome());
     INFO("seed " << seed << (isSeries ? ", in series" : ", at once"));
-    CHECK(run.Outcome().mLongestRejection <= prompt_quarantine::kFirstQuarantine);
+    CHECK(run.Outcome().mLongestRejection <= crash_quarantine::kFirstQuarantine);
   }
 }
 
--- a/packages/dispatch/tests/digest_exchange_test.cpp
+++ b/packages/dispatch/tests/digest_exchange_test.cpp
@@ -175,7 +175,7 @@
   auto fleet = digest_fleet(FleetOf(5, 8));
   fleet.RunFor(kQuiet);
   const auto before = fleet.MessagesBetweenZones();
-  const auto parts = std::vector<prompt_part_key>{ 1, 2, 3 };
+  const auto parts = std::vector<suspect_key>{ 1, 2, 3 };
   for (auto crash = crash_id{ 1 }; crash <= 8; ++crash) {
     fleet.At(0).mProcess->mQuarantine.OnCrash(crash, parts, fleet.Now());
   }
--- a/packages/dispatch/tests/digest_fleet.h
+++ b/packages/dispatch/tests/digest_fleet.h
@@ -38,7 +38,7 @@
     peer_table mPeers;
     endpoint_table mEndpoints;
     fleet_rate_limiter mRateLimiter;
-    prompt_quarantine mQuarantine;
+    crash_quarantine mQuarantine;
     digest_exchange mExchange;
     digest_exchange::entry_status mStatus;
     /// When the last accepted digest of each peer was made.
--- a/packages/gateway/src/crash_monitor.cpp
+++ b/packages/gateway/src/crash_monitor.cpp
@@ -29,7 +29,7 @@
 }
 
 crash_monitor::crash_monitor(boost::asio::io_context& aContext,
-                             prompt_quarantine& aQuarantine,
+                             crash_quarantine& aQuarantine,
                              event_log& aLog,
                              metrics_registry& aMetrics)
   : mContext(aContext)
@@ -40,7 +40,7 @@
 }
 
 auto crash_monitor::OnBrokenAttempt(const endpoint_table::choice& aEndpoint,
-                                    std::vector<prompt_part_key> aKeys,
+                                    std::vector<suspect_key> aKeys,
                                     bool aWasAnswering) -> void
 {
   const auto crash = HashEndpointIncarnation(aEndpoint.mId, aEndpoint.mIncarnation);
--- a/packages/gateway/src/crash_monitor.h
+++ b/packages/gateway/src/crash_monitor.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <bronzering/base/metrics.h>
+#include <bronzering/dispatch/crash_quarantine.h>
 #include <bronzering/dispatch/endpoint_table.h>
-#include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/log/event_log.h>
 
 #include <boost/asio/awaitable.hpp>
@@ -21,7 +21,7 @@
 /// Thread-safe.
 [[nodiscard]] auto TrialDelay(std::string_view aAddress) -> double;
 
-/// Tells crashes of endpoints from broken connections and passes them to the prompt_quarantine. A
+/// Tells crashes of endpoints from broken connections and passes them to the crash_quarantine. A
 /// process that has crashed refuses connections; an endpoint that only broke off an answer, or
 /// whose connection the network reset, accepts them. Control thread only.
 ///
@@ -31,7 +31,7 @@
 public:
   /// The references must outlive the monitor.
   crash_monitor(boost::asio::io_context& aContext,
-                prompt_quarantine& aQuarantine,
+                crash_quarantine& aQuarantine,
                 event_log& aLog,
                 metrics_registry& aMetrics);
 
@@ -40,7 +40,7 @@
   /// aWasAnswering tells whether the endpoint counted as answering it. Tries to connect to the
   /// endpoint, once for all requests reported meanwhile.
   auto OnBrokenAttempt(const endpoint_table::choice& aEndpoint,
-                       std::vector<prompt_part_key> aKeys,
+                       std::vector<suspect_key> aKeys,
                        bool aWasAnswering) -> void;
   /// Returns when it is known whether the endpoint has crashed: at once if no check is in progress,
   /// and after kMaxCheckWait at the latest.
@@ -53,7 +53,7 @@
 
   struct broken_attempt
   {
-    std::vector<prompt_part_key> mKeys;
+    std::vector<suspect_key> mKeys;
     bool mWasAnswering = false;
   };
   struct pending_check
@@ -66,7 +66,7 @@
   auto Check(endpoint_table::choice aEndpoint, crash_id aCrash) -> boost::asio::awaitable<void>;
 
   boost::asio::io_context& mContext;
-  prompt_quarantine& mQuarantine;
+  crash_quarantine& mQuarantine;
   event_log& mLog;
   metrics_registry& mMetrics;
   /// The checks in progress, by possible crash.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -12,7 +12,6 @@
 #include <spdlog/fmt/fmt.h>
 
 #include <algorithm>
-#include <cassert>
 #include <utility>
 
 namespace bronzering {
@@ -33,8 +32,6 @@
 constexpr auto kStallFactor = 3;
 constexpr auto kResponseStallMargin = duration(std::chrono::milliseconds(150));
 constexpr auto kStreamStallMargin = duration(std::chrono::milliseconds(600));
-/// A stream is stalled when nothing is received for this long.
-constexpr auto kEventStallTimeout = duration(std::chrono::milliseconds(1'000));
 /// Another entry can serve a request at once that this one refuses because it is shutting down. The
 /// delay spreads the callers of its connections over the other entries' event loops.
 constexpr auto kStoppingReturn = duration(std::chrono::milliseconds(50));
@@ -43,18 +40,8 @@
 constexpr auto kConfigurationWait = duration(std::chrono::milliseconds(400));
 /// Time that a caller is taken to have left if it names none and its route is not known.
 constexpr auto kDefaultTimeLeft = duration(std::chrono::milliseconds(1'500));
-/// Events after which an endpoint counts as answering. An endpoint that crashes on a request may
-/// still have sent its first event.
-constexpr auto kAnsweringEvents = 2U;
-/// Maximum size of a buffered answer and of one event. Endpoints in trouble may send bytes without
-/// end, and several such answers have to fit into the entry's memory.
-constexpr auto kMaxAnswerBytes = std::size_t{ 8 } * 1024 * 1024;
-constexpr auto kMaxEventBytes = std::size_t{ 1 } * 1024 * 1024;
-/// How often an answer for which there is no memory is looked at again.
-constexpr auto kMemoryRecheck = std::chrono::milliseconds(50);
 /// Reasons in answers and logs.
 constexpr auto kStoppingReason = std::string_view("shutting down");
-constexpr auto kEndpointErrorReason = std::string_view("endpoint answered with an error");
 constexpr auto kNoEndpointReason = std::string_view("no endpoint can answer in time");
 
 } // namespace
@@ -220,7 +207,7 @@
 {
   for (;;) {
     auto verdict = JudgeSending();
-    if (verdict.mRejectedPart) {
+    if (verdict.mRejectedKey) {
       co_await RefuseQuarantined(verdict);
       co_return;
     }
@@ -254,7 +241,7 @@
     // Endpoints may have crashed while the request waited.
     if (!verdict.mIsTrial) {
       verdict = JudgeSending();
-      if (verdict.mRejectedPart) {
+      if (verdict.mRejectedKey) {
         mState.mEndpoints.End(mId, attempt_result::Abandoned, ReadBootClock());
         mState.mDispatchWaiter.Wake();
         co_await RefuseQuarantined(verdict);
@@ -458,195 +445,6 @@
   }
 }
 
-auto exchange::RelayBuffered(endpoint_call& aCall, const attempt& aAttempt, attempt_result& aResult)
-  -> boost::asio::awaitable<execution_outcome>
-{
-  auto held = memory_reservation(mState.mMemory);
-  auto body = std::string();
-  const auto length = std::min<std::uint64_t>(aCall.ContentLength().value_or(0), kMaxAnswerBytes);
-  const auto reserve = [&](std::size_t aBytes) -> boost::asio::awaitable<void> {
-    if (!held.TryResize(aBytes)) {
-      aCall.DisarmStallTimer();
-      co_await AwaitMemory(held, aBytes);
-      ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
-    }
-  };
-  if (length > 0) {
-    co_await reserve(length);
-    body.reserve(length);
-  }
-  for (;;) {
-    const auto part = co_await aCall.ReadSome();
-    if (part && body.size() + part->size() > held.Bytes()) {
-      const auto larger = std::max(body.size() + part->size(), 2 * held.Bytes());
-      co_await reserve(larger);
-      body.reserve(larger);
-    }
-    if (!part || body.size() > kMaxAnswerBytes) {
-      aResult = attempt_result::Failed;
-      co_return execution_outcome::MayHaveExecuted;
-    }
-    if (part->empty()) {
-      break;
-    }
-    body += *part;
-  }
-
-  RecordRegularEnd(aCall);
-  // A 5xx response is retried if the route allows it and forwarded otherwise. A stream that has
-  // started cannot change its status any more.
-  const auto isError = aCall.Status() >= 500;
-  aResult = isError ? attempt_result::Failed : attempt_result::Answered;
-  if (aCall.Status() >= 200 && aCall.Status() < 300) {
-    mState.mQuarantine.OnAnswer(mPartKeys, ReadBootClock());
-    RecordAnswerTime(aAttempt, ReadBootClock());
-  }
-  if (mResponseWriter.HasStarted()) {
-    co_return execution_outcome::MayHaveExecuted;
-  }
-  const auto keepError = [&] {
-    mKeptError = kept_error{ aCall.Status(), aCall.Fields(), std::move(body), std::move(held) };
-  };
-  // An error is forwarded only if no other attempt brings an answer. A hedge that brings one has
-  // not won.
-  if (isError && HasRival(aAttempt)) {
-    keepError();
-    co_return execution_outcome::MayHaveExecuted;
-  }
-  if (isError) {
-    SettleSecondAttempt(second_attempt_result::Failed);
-  }
-  if (!ClaimAnswer(aAttempt)) {
-    co_return execution_outcome::MayHaveExecuted;
-  }
-  if (isError && MayRetry() && mSends < kMaxSends && CanEndElsewhere(ReadBootClock()) &&
-      TakeRetry()) {
-    keepError();
-    co_return execution_outcome::Retry;
-  }
-  mFirstEvent = ReadBootClock();
-  co_await mResponseWriter.WriteComplete(aCall.Status(), aCall.Fields(), body);
-  Finish(exchange_end::Answered, aCall.Status(), isError ? kEndpointErrorReason : "");
-  co_return execution_outcome::Done;
-}
-
-auto exchange::RelayStream(endpoint_call& aCall, const attempt& aAttempt, attempt_result& aResult)
-  -> boost::asio::awaitable<execution_outcome>
-{
-  const auto head = aCall.Fields();
-  const auto status = aCall.Status();
-  // Where two attempts may be made, each has its own events until it is the first to answer.
-  auto isClaimed = mParallelAttempts == nullptr;
-  auto ownEvents = isClaimed ? event_splitter() : mEvents;
-  (isClaimed ? mEvents : ownEvents).BeginAttempt();
-  auto attemptEvents = 0U;
-  auto isAnswering = false;
-  for (;;) {
-    const auto bytes = co_await aCall.ReadSome();
-    // The endpoint is not silent while this entry waits for the caller to read.
-    aCall.DisarmStallTimer();
-    // The events of the attempt that answers are counted in mEvents. What this one has received
-    // since must not be added to them; its cancellation may still be on the way.
-    if (IsOvertaken(aAttempt)) {
-      aResult = attempt_result::Abandoned;
-      co_return execution_outcome::MayHaveExecuted;
-    }
-    if (!bytes) {
-      aResult = attempt_result::Failed;
-      co_return execution_outcome::MayHaveExecuted;
-    }
-    const auto now = ReadBootClock();
-    const auto part = (isClaimed ? mEvents : ownEvents).Add(*bytes);
-    const auto partialSize = (isClaimed ? mEvents : ownEvents).PartialEvent().size();
-    mState.mEndpoints.OnEvents(aAttempt.mId, part.mEvents, now);
-    if (attemptEvents == 0 && part.mEvents > 0) {
-      RecordAnswerTime(aAttempt, now);
-    }
-    // A crash ends a response without a length like its regular end does.
-    const auto isCutOff =
-      bytes->empty() && (partialSize > 0 || (attemptEvents == 0 && aCall.EndsWithConnection()));
-    if (part.mEvents > 0 || (bytes->empty() && !isCutOff)) {
-      if (!ClaimAnswer(aAttempt)) {
-        aResult = attempt_result::Abandoned;
-        co_return execution_outcome::MayHaveExecuted;
-      }
-      if (!std::exchange(isClaimed, true)) {
-        std::swap(mEvents, ownEvents);
-      }
-    }
-    if (part.mEvents > 0) {
-      if (mLastEvent) {
-        mLongestEventGap = std::max<duration>(mLongestEventGap, now - *mLastEvent);
-      }
-      mLastEvent = now;
-    }
-    attemptEvents += part.mEvents;
-    if (isCutOff || partialSize > kMaxEventBytes) {
-      aCall.MarkIncomplete();
-      aResult = attempt_result::Failed;
-      co_return execution_outcome::MayHaveExecuted;
-    }
-    const auto isFramedEnd = bytes->empty() && !aCall.EndsWithConnection();
-    if (bytes->empty()) {
-      RecordRegularEnd(aCall);
-    }
-    if (!isAnswering && (attemptEvents >= kAnsweringEvents || isFramedEnd)) {
-      isAnswering = true;
-      mState.mQuarantine.OnAnswer(mPartKeys, now);
-    }
-    if (part.mHasGap) {
-      aResult = attempt_result::Failed;
-      co_return execution_outcome::MayHaveExecuted;
-    }
-
-    // The header is sent with the first event, so that an attempt that breaks before can be
-    // retried.
-    auto isWritten = true;
-    if (!part.mBytes.empty() || (bytes->empty() && !mResponseWriter.HasStarted())) {
-      if (mResponseWriter.HasStarted()) {
-        isWritten = co_await mResponseWriter.ContinueStream(part.mBytes);
-      } else {
-        mFirstEvent = now;
-        isWritten = co_await mResponseWriter.StartStream(status, head, part.mBytes);
-      }
-    }
-    if (isWritten && bytes->empty()) {
-      aResult = attempt_result::Answered;
-      isWritten = co_await mResponseWriter.FinishStream();
-      Finish(exchange_end::Answered, status, "");
-      co_return execution_outcome::Done;
-    }
-    if (!isWritten) {
-      Finish(exchange_end::CallerGone, status, "caller closed the connection");
-      co_return execution_outcome::Done;
-    }
-    ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
-  }
-}
-
-auto exchange::ArmStallTimer(endpoint_call& aCall, const attempt& aAttempt, duration aTimeout)
-  -> void
-{
-  aCall.ArmStallTimer(aTimeout, [this, &aCall, &aAttempt] { OnStall(aCall, aAttempt); });
-}
-
-auto exchange::OnStall(endpoint_call& aCall, const attempt& aAttempt) -> void
-{
-  const auto now = ReadBootClock();
-  mState.mEndpoints.OnStall(aAttempt.mId, now);
-  const auto isTakenOver = TakeOver(aAttempt, now);
-  mState.mLog.Write(log_priority::Notable,
-                    "endpoint_silent",
-                    { { "request", mMetadata.mId },
-                      { "endpoint", aAttempt.mEndpoint.mId },
-                      { "events", mEvents.EventCount() },
-                      { "taken_over", isTakenOver } },
-                    now);
-  if (isTakenOver || HasRival(aAttempt) || MayRetry()) {
-    ArmStallTimer(aCall, aAttempt, kEventStallTimeout);
-  }
-}
-
 auto exchange::CanBeSentElsewhere(time_point aNow) const -> bool
 {
   const auto other = mState.mDispatchWaiter.Queue().Preview(TicketForOthers(), aNow);
@@ -660,10 +458,10 @@
           mState.mDispatchWaiter.Queue().MayWait(TicketForOthers(), aNow));
 }
 
-auto exchange::RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
+auto exchange::RefuseQuarantined(const crash_quarantine::verdict& aVerdict)
   -> boost::asio::awaitable<void>
 {
-  const auto isPart = *aVerdict.mRejectedPart < mPartKeys.size();
+  const auto isPart = *aVerdict.mRejectedKey < mPartKeys.size();
   const auto reason = isPart ? std::string_view("a part of the prompt crashed endpoints")
                              : std::string_view("the request crashed endpoints");
   mQuarantineVerdict = aVerdict;
@@ -689,22 +487,12 @@
   // Once it is answering, the endpoint has read the prompt, but may still crash on the request.
   const auto wasAnswering = aAttempt.mEvents >= kAnsweringEvents;
   mState.mCrashMonitor.OnBrokenAttempt(aAttempt.mEndpoint,
-                                       wasAnswering ? std::vector<prompt_part_key>{ mRequestKey }
+                                       wasAnswering ? std::vector<suspect_key>{ mRequestKey }
                                                     : QuarantineKeys(),
                                        wasAnswering);
 }
 
-auto exchange::RecordRegularEnd(const endpoint_call& aCall) -> void
-{
-  // A crash ends a response without a length like its regular end does, and an endpoint that
-  // answers that it is overloaded has not begun the request.
-  const auto isOverloaded = aCall.Status() == 429 || aCall.Status() == 503;
-  if (!aCall.EndsWithConnection() && !isOverloaded) {
-    mState.mQuarantine.OnRequestAnswered(mRequestKey, ReadBootClock());
-  }
-}
-
-auto exchange::JudgeSending() -> prompt_quarantine::verdict
+auto exchange::JudgeSending() -> crash_quarantine::verdict
 {
   const auto now = ReadBootClock();
   const auto verdict = mState.mQuarantine.Judge(QuarantineKeys(), now);
@@ -715,7 +503,7 @@
   return verdict;
 }
 
-auto exchange::QuarantineKeys() const -> std::vector<prompt_part_key>
+auto exchange::QuarantineKeys() const -> std::vector<suspect_key>
 {
   auto keys = mPartKeys;
   keys.push_back(mRequestKey);
@@ -783,18 +571,6 @@
   Finish(exchange_end::Failed, aStatus, aReason);
 }
 
-auto exchange::ForwardKeptError() -> boost::asio::awaitable<void>
-{
-  assert(mKeptError && !mResponseWriter.HasStarted());
-  if (mState.mShutdown.IsStopping()) {
-    mResponseWriter.CloseAfterResponse();
-  }
-  mFirstEvent = ReadBootClock();
-  co_await mResponseWriter.WriteComplete(
-    mKeptError->mStatus, mKeptError->mFields, mKeptError->mBody);
-  Finish(exchange_end::Answered, mKeptError->mStatus, kEndpointErrorReason);
-}
-
 auto exchange::WriteProblem(unsigned aStatus,
                             std::string_view aReason,
                             bool aIsNotExecuted,
@@ -868,17 +644,6 @@
   mBodyMemory.Release();
 }
 
-auto exchange::AwaitMemory(memory_reservation& aHeld, std::size_t aBytes)
-  -> boost::asio::awaitable<void>
-{
-  // The endpoint is not read meanwhile. The wait ends with the request at the latest.
-  auto timer = boost::asio::steady_timer(mState.mContext);
-  while (!aHeld.TryResize(aBytes)) {
-    timer.expires_after(kMemoryRecheck);
-    co_await timer.async_wait(boost::asio::use_awaitable);
-  }
-}
-
 auto exchange::ComposeRequest(const std::string& aEndpoint) const -> forwarded_request
 {
   const auto& headers = mState.mHeaderNames;
--- a/packages/gateway/src/exchange.h
+++ b/packages/gateway/src/exchange.h
@@ -72,6 +72,9 @@
 private:
   /// Maximum number of attempts of one request, including those that the endpoint declined.
   static constexpr auto kMaxSends = 4U;
+  /// Events after which an endpoint counts as answering. An endpoint that crashes on a request may
+  /// still have sent its first event.
+  static constexpr auto kAnsweringEvents = 2U;
 
   /// What an attempt means for the request.
   enum class execution_outcome
@@ -218,12 +221,11 @@
   [[nodiscard]] auto CanEndElsewhere(time_point aNow) const -> bool;
 
   /// Decides whether the request may be sent now, and logs a trial.
-  [[nodiscard]] auto JudgeSending() -> prompt_quarantine::verdict;
+  [[nodiscard]] auto JudgeSending() -> crash_quarantine::verdict;
   /// The keys under which the request may be suspected: its prompt parts, then itself.
-  [[nodiscard]] auto QuarantineKeys() const -> std::vector<prompt_part_key>;
+  [[nodiscard]] auto QuarantineKeys() const -> std::vector<suspect_key>;
   /// Refuses a request that is quarantined or has a quarantined part.
-  auto RefuseQuarantined(const prompt_quarantine::verdict& aVerdict)
-    -> boost::asio::awaitable<void>;
+  auto RefuseQuarantined(const crash_quarantine::verdict& aVerdict) -> boost::asio::awaitable<void>;
   /// Passes on that the endpoint broke the attempt off, if that is so.
   auto ReportBrokenAttempt(const attempt& aAttempt) -> void;
   /// Passes on that a response came to its regular end.
@@ -291,11 +293,11 @@
   const organisation_spec* mOrganisation = nullptr;
   std::string mService;
   /// The shared parts of the prompt; set at admission.
-  std::vector<prompt_part_key> mPartKeys;
+  std::vector<suspect_key> mPartKeys;
   /// Identifies the request with its caller and body, whatever its id; set at admission.
-  prompt_part_key mRequestKey = 0;
+  suspect_key mRequestKey = 0;
   /// Why the request was refused, if it or a part of its prompt is quarantined.
-  std::optional<prompt_quarantine::verdict> mQuarantineVerdict;
+  std::optional<crash_quarantine::verdict> mQuarantineVerdict;
   /// Quota units that were taken from the organisation's limit. Refuse returns them to the limit.
   double mSpentUnits = 0;
   /// Quota units for which the request was refused because the limit was exhausted.
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -78,7 +78,7 @@
     aLine["rate_limited"] = limited;
   }
   if (mQuarantineVerdict) {
-    if (const auto at = *mQuarantineVerdict->mRejectedPart; at < mMetadata.mSharedParts.size()) {
+    if (const auto at = *mQuarantineVerdict->mRejectedKey; at < mMetadata.mSharedParts.size()) {
       aLine["suspected_part"] = mMetadata.mSharedParts[at];
     } else {
       aLine["suspected_request"] = true;
--- a/packages/gateway/src/exchange_second_attempt.cpp
+++ b/packages/gateway/src/exchange_second_attempt.cpp
@@ -271,7 +271,7 @@
 
 auto exchange::IsQuarantined(time_point aNow) -> bool
 {
-  return mState.mQuarantine.Judge(QuarantineKeys(), aNow).mRejectedPart.has_value();
+  return mState.mQuarantine.Judge(QuarantineKeys(), aNow).mRejectedKey.has_value();
 }
 
 auto exchange::TakeHedge(const parallel_attempts& aAttempts, time_point aNow)
--- a/packages/gateway/src/gateway_state.h
+++ b/packages/gateway/src/gateway_state.h
@@ -3,6 +3,7 @@
 #include <bronzering/base/boot_clock.h>
 #include <bronzering/base/random_source.h>
 #include <bronzering/dispatch/configuration_lag.h>
+#include <bronzering/dispatch/crash_quarantine.h>
 #include <bronzering/dispatch/decaying_rate.h>
 #include <bronzering/dispatch/dispatch_queue.h>
 #include <bronzering/dispatch/endpoint_table.h>
@@ -11,7 +12,6 @@
 #include <bronzering/dispatch/hedge_policy.h>
 #include <bronzering/dispatch/memory_budget.h>
 #include <bronzering/dispatch/peer_table.h>
-#include <bronzering/dispatch/prompt_quarantine.h>
 #include <bronzering/dispatch/published_items.h>
 #include <bronzering/dispatch/route_table.h>
 #include <bronzering/dispatch/shutdown_schedule.h>
@@ -120,7 +120,7 @@
   std::map<unsigned, time_point> mLastRejectionLog;
   peer_table mPeers;
   configuration_lag mConfigurationLag;
-  prompt_quarantine mQuarantine;
+  crash_quarantine mQuarantine;
   crash_monitor mCrashMonitor;
   /// Never expires; cancelled to wake its waiters when a routing document is adopted.
   boost::asio::steady_timer mFirstDocumentAdopted;
--- a/packages/gateway/tests/crashing_prompt_part_test.cpp
+++ b/packages/gateway/tests/crashing_prompt_part_test.cpp
@@ -72,7 +72,7 @@
 
 // Requests with one prompt part crashed one endpoint after another.
 TEST_CASE("requests with a prompt part that crashes endpoints are kept from further endpoints",
-          "[prompt_quarantine]")
+          "[crash_quarantine]")
 {
   auto fixture = gateway_fixture();
   auto fleet = crashing_fleet(fixture);
