--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -152,11 +152,14 @@
         self.task = asyncio.create_task(self.beats())
         return self
 
+    def entry(self):
+        """What the worker writes about itself."""
+        return {"service": self.service, "address": "%s:%d" % (self.ip, self.port), "zone": "a", "version": "v1", "slots": self.slots,
+                "state": "ready", "cold_left_ms": 0, "sequence": self.sequence, "born": self.born}
+
     async def beat(self):
         self.sequence += 1
-        await self.store.put("servers/" + self.id, {
-            "service": self.service, "address": "%s:%d" % (self.ip, self.port), "zone": "a", "version": "v1", "slots": self.slots,
-            "state": "ready", "cold_left_ms": 0, "sequence": self.sequence, "born": self.born})
+        await self.store.put("servers/" + self.id, self.entry())
 
     async def beats(self):
         while True:
