Show that a late write of a worker's older entry sends orders to it while it leaves

The store does a write of ready, sequence 6, that it has not answered, 5.7 s late, after draining with sequence 9.

--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -82,6 +82,13 @@
         async with self.changed:
             self.changed.notify_all()
 
+    async def remove(self, key):
+        self.revision += 1
+        del self.items[key]
+        self.events.append({"key": key, "revision": self.revision, "removed": True})
+        async with self.changed:
+            self.changed.notify_all()
+
     async def serve(self, reader, writer):
         try:
             while True:
@@ -143,11 +150,13 @@
         self.port = None
         self.free = None
         self.task = None
+        self.server = None
+        self.writers = set()
 
     async def start(self):
         self.free = asyncio.Semaphore(self.slots)
-        server = await asyncio.start_server(self.serve, self.ip, 0, limit=READ_LIMIT)
-        self.port = server.sockets[0].getsockname()[1]
+        self.server = await asyncio.start_server(self.serve, self.ip, 0, limit=READ_LIMIT)
+        self.port = self.server.sockets[0].getsockname()[1]
         await self.beat()
         self.task = asyncio.create_task(self.beats())
         return self
@@ -166,7 +175,15 @@
             await asyncio.sleep(1.2)
             await self.beat()
 
+    def stop(self):
+        """Ends the worker: its entry is not renewed, and its channels are closed."""
+        self.task.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 head = await asyncio.wait_for(read_head(reader), 15)
@@ -176,10 +193,11 @@
         except (*CONNECTION_ERRORS, asyncio.TimeoutError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, writer, head, body):
-        request = head.get("X-Request-Id") or ""
+        request, arrived = head.get("X-Request-Id") or "", time.monotonic()
         if head.get("X-Expect-Instance") not in (None, self.id):
             self.reply(writer, 421, request, "X-Instance-Id: %s\r\n" % self.id)
             return
@@ -196,10 +214,12 @@
             if time.monotonic() > end:
                 self.reply(writer, 503, request, "X-Not-Executed: 1\r\n")
                 return
-            self.record.append({"id": request, "worker": self.id, "body": len(body)})
+            run = {"id": request, "worker": self.id, "body": len(body), "arrived": arrived}
+            self.record.append(run)
             await asyncio.sleep(self.work * random.uniform(0.5, 1.5))
             data = (request * 50).encode()
             self.reply(writer, 200, request, "X-Response-Seal: 3e1b.%s\r\n" % hashlib.sha1(data).hexdigest()[:8], data)
+            run["answered"] = not writer.transport.is_closing()
         finally:
             self.free.release()
 
