Log which write of an endpoint has taken effect

The line endpoint_state names the state of an endpoint and the position of the copy, but neither the incarnation, the number that the endpoint gave its write, nor the revision of that write. Three causes for a leaving endpoint that is ready again cannot be told apart: an older write done late by the store, a restart under the same id, and an older copy taken from a peer.

The line now has incarnation, write and written. The version is read once, when a write is applied, and kept with the item, where it was read at each comparison.

--- a/packages/dispatch/include/bronzering/dispatch/published_items.h
+++ b/packages/dispatch/include/bronzering/dispatch/published_items.h
@@ -15,6 +15,16 @@
 
 namespace bronzering {
 
+/// Version that the owner of an item has given it. Unlike a revision it keeps its meaning when the
+/// source is restored. A restart of the owner has a higher incarnation.
+struct owner_version
+{
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mNumber = 0;
+
+  auto operator<=>(const owner_version&) const = default;
+};
+
 /// A key-value pair published by the platform. The key is the item's name, not a credential.
 struct published_item
 {
@@ -25,6 +35,8 @@
   std::uint64_t mHistory = 0;
   /// Whether the source no longer lists the item, although its owner may still renew it.
   bool mIsExpired = false;
+  /// Read from the value when the item is applied; empty if it has none or cannot be read.
+  std::optional<owner_version> mVersion = {};
 
   [[nodiscard]] auto Position() const -> source_position { return { mHistory, mRevision }; }
 };
@@ -39,16 +51,6 @@
   [[nodiscard]] auto Position() const -> source_position { return { mHistory, mRevision }; }
 };
 
-/// Version that the owner of an item has given it. Unlike a revision it keeps its meaning when the
-/// source is restored. A restart of the owner has a higher incarnation.
-struct owner_version
-{
-  std::uint64_t mIncarnation = 0;
-  std::uint64_t mNumber = 0;
-
-  auto operator<=>(const owner_version&) const = default;
-};
-
 /// Reads the owner's version of an item; empty if it has none or cannot be read.
 using owner_version_reader = std::function<std::optional<owner_version>(const published_item&)>;
 
@@ -171,7 +173,7 @@
                                         const published_item& aHeld) const -> bool;
   /// Whether a restored source lists an item as it was before its removal.
   [[nodiscard]] auto IsRemovedVersion(const published_item& aItem) const -> bool;
-  [[nodiscard]] auto VersionOf(const published_item& aItem) const -> std::optional<owner_version>;
+  [[nodiscard]] auto ReadVersion(const published_item& aItem) const -> std::optional<owner_version>;
   /// Takes from an outdated snapshot what its sender has of later versions. Returns true if any
   /// item was replaced.
   auto MergeLaterVersions(published_snapshot aSnapshot) -> bool;
--- a/packages/dispatch/include/bronzering/dispatch/routing_document.h
+++ b/packages/dispatch/include/bronzering/dispatch/routing_document.h
@@ -141,6 +141,8 @@
   /// slow and takes only a few requests per second.
   duration mColdLeft{};
   source_position mWritten;
+  /// Number that the endpoint has given the write at mWritten, if it numbers its writes.
+  std::optional<std::uint64_t> mWriteNumber;
 };
 
 } // namespace bronzering
--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -54,6 +54,8 @@
 auto published_items::ApplyWrite(published_item aItem, time_point aNow) -> bool
 {
   const auto found = mItems.find(aItem.mKey);
+  const auto isSameWrite = found != mItems.end() && found->second.Position() == aItem.Position();
+  aItem.mVersion = isSameWrite ? found->second.mVersion : ReadVersion(aItem);
   if (found != mItems.end() && !Replaces(aItem, found->second)) {
     if (aItem.mHistory > found->second.mHistory && IsOtherIncarnation(aItem, found->second)) {
       mWithheld.insert_or_assign(aItem.mKey, aItem);
@@ -61,7 +63,6 @@
     return false;
   }
   // Only another write renews an item; a peer may have the same one.
-  const auto isSameWrite = found != mItems.end() && found->second.Position() == aItem.Position();
   aItem.mIsExpired = aItem.mIsExpired || (isSameWrite && found->second.mIsExpired);
   auto key = aItem.mKey;
   if (found == mItems.end() && IsRemovedVersion(aItem)) {
@@ -196,7 +197,7 @@
   if (found == mItems.end()) {
     return;
   }
-  if (const auto version = VersionOf(found->second); version) {
+  if (const auto& version = found->second.mVersion; version) {
     if (mRemovals.size() >= kMaxRemovals) {
       mRemovals.erase(std::min_element(
         mRemovals.begin(), mRemovals.end(), [](const auto& aLeft, const auto& aRight) {
@@ -212,8 +213,8 @@
   -> bool
 {
   if (aItem.mHistory != aHeld.mHistory) {
-    const auto version = VersionOf(aItem);
-    const auto held = VersionOf(aHeld);
+    const auto& version = aItem.mVersion;
+    const auto& held = aHeld.mVersion;
     if (version && held && *version != *held) {
       return *version > *held;
     }
@@ -224,8 +225,8 @@
 auto published_items::IsOtherIncarnation(const published_item& aItem,
                                          const published_item& aHeld) const -> bool
 {
-  const auto version = VersionOf(aItem);
-  const auto held = VersionOf(aHeld);
+  const auto& version = aItem.mVersion;
+  const auto& held = aHeld.mVersion;
   return version && held && version->mIncarnation != held->mIncarnation;
 }
 
@@ -235,11 +236,11 @@
   if (found == mRemovals.end() || aItem.mHistory <= found->second.mHistory) {
     return false;
   }
-  const auto version = VersionOf(aItem);
+  const auto& version = aItem.mVersion;
   return version && *version <= found->second.mVersion;
 }
 
-auto published_items::VersionOf(const published_item& aItem) const -> std::optional<owner_version>
+auto published_items::ReadVersion(const published_item& aItem) const -> std::optional<owner_version>
 {
   return mVersionOf ? mVersionOf(aItem) : std::nullopt;
 }
@@ -249,6 +250,7 @@
   auto hasChanged = false;
   for (auto& item : aSnapshot.mItems) {
     const auto found = mItems.find(item.mKey);
+    item.mVersion = ReadVersion(item);
     if (found != mItems.end() && item.Position() != found->second.Position() &&
         Replaces(item, found->second)) {
       // The sender's view of what has expired is outdated.
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -440,20 +440,20 @@
   mRejectedItems = std::move(rejectedNow);
 
   // Log the endpoints whose state has changed for this entry.
-  struct logged_state
-  {
-    bool mIsLeaving = false;
-    source_position mWritten;
-  };
-  auto previous = std::map<std::string, logged_state>();
-  for (const auto& endpoint : mShared.mEndpoints.Endpoints()) {
-    previous.emplace(endpoint.mId, logged_state{ endpoint.mIsLeaving, endpoint.mWritten });
+  auto previous = std::map<std::string, listed_endpoint>();
+  for (auto& endpoint : mShared.mEndpoints.Endpoints()) {
+    auto id = endpoint.mId;
+    previous.emplace(std::move(id), std::move(endpoint));
   }
-  const auto log = [this, now](const std::string& aId, std::string_view aState) {
+  const auto log = [this, now](const listed_endpoint& aEndpoint, std::string_view aState) {
+    const auto& number = aEndpoint.mWriteNumber;
     mShared.mLog.Write(log_priority::Notable,
                        "endpoint_state",
-                       { { "endpoint", aId },
+                       { { "endpoint", aEndpoint.mId },
                          { "state", aState },
+                         { "incarnation", aEndpoint.mIncarnation },
+                         { "write", number ? boost::json::value(*number) : nullptr },
+                         { "written", aEndpoint.mWritten.mRevision },
                          { "revision", mShared.mItems.Position().mRevision },
                          { "history", mShared.mItems.Position().mHistory } },
                        now);
@@ -461,18 +461,18 @@
   for (const auto& endpoint : endpoints) {
     const auto found = previous.find(endpoint.mId);
     if (found == previous.end() || found->second.mIsLeaving != endpoint.mIsLeaving) {
-      log(endpoint.mId, endpoint.mIsLeaving ? "leaving" : "ready");
+      log(endpoint, endpoint.mIsLeaving ? "leaving" : "ready");
     }
     const auto isNewWrite = found == previous.end() || found->second.mWritten != endpoint.mWritten;
     const auto* service = mShared.mEndpoints.ServiceOf(endpoint.mService);
     if (isNewWrite && endpoint.mColdLeft > duration::zero() && service != nullptr &&
         service->mColdRate > 0) {
-      log(endpoint.mId, "cold");
+      log(endpoint, "cold");
     }
     previous.erase(endpoint.mId);
   }
   for (const auto& [id, last] : previous) {
-    log(id, "gone");
+    log(last, "gone");
   }
   mShared.mEndpoints.Apply(std::move(endpoints), now);
   AdoptEvacuatedZones(now);
