Withhold writes of endpoints that the store does late

Callers: orders were sent to a worker up to 3.2 s after it had reported that it was draining, and up to 6 of them were lost when it exited.

Cause: within one history the copy of the published items compared only the store's revisions. A write that the store had not answered and did 5.7 s later (ready, sequence 6) replaced the later one (draining, sequence 9). The log shows the same incarnation with a lower number at a higher revision.

Change: the owner's version decides wherever two states of an item are compared. An outdated write is withheld until the owner writes again, the store removes the item, or it has been listed for longer than late writes and their leases can last. The same for a write after the removal of its item, except where the item may have expired in an outage. Digests say how many writes an entry withholds; an entry that has just started takes them from a peer. Why it works: the number of a write says in which order the owner made it, whatever the store did since; and only an owner that lives can keep an item listed for that long.

--- a/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
+++ b/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
@@ -54,6 +54,7 @@
     source_position mPosition;
     std::uint64_t mConfigurationVersion = 0;
     bool mIsSourceStable = false;
+    std::uint32_t mWithheldWrites = 0;
     double mDemand = 0;
   };
   struct changed_rate_limit
--- a/packages/dispatch/include/bronzering/dispatch/peer_digest.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_digest.h
@@ -42,6 +42,8 @@
   /// The sender has been connected to the source of the items without interruption for at least
   /// the grace period for expired items.
   bool mIsSourceStable = false;
+  /// Number of writes that the sender withholds since they are older than what has taken effect.
+  std::uint32_t mWithheldWrites = 0;
   /// Requests per second that the sender's callers send.
   double mDemand = 0;
   std::vector<endpoint_load> mLoads;
--- a/packages/dispatch/include/bronzering/dispatch/peer_table.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_table.h
@@ -70,6 +70,9 @@
   /// The live peer with the highest configuration above aVersion; empty if there is none.
   [[nodiscard]] auto FindPeerWithConfigurationAbove(std::uint64_t aVersion) const
     -> std::optional<std::string>;
+  /// The live peer that withholds most writes, if they are more than aCount.
+  [[nodiscard]] auto FindPeerWithholdingMoreThan(std::size_t aCount) const
+    -> std::optional<std::string>;
   /// Whether a live peer with a stable connection to the source holds aPosition or a later one.
   [[nodiscard]] auto IsConfirmedByPeer(source_position aPosition) const -> bool;
 
@@ -83,6 +86,7 @@
     bool mIsSourceStable = false;
     bool mIsLive = false;
     bool mIsLeaving = false;
+    std::size_t mWithheldWrites = 0;
     double mDemand = 0;
     zone_key mZone = kUnknownZone;
     time_point mLastDigest;
--- a/packages/dispatch/src/digest_exchange.cpp
+++ b/packages/dispatch/src/digest_exchange.cpp
@@ -84,6 +84,7 @@
   digest.mPosition = aStatus.mPosition;
   digest.mConfigurationVersion = aStatus.mConfigurationVersion;
   digest.mIsSourceStable = aStatus.mIsSourceStable;
+  digest.mWithheldWrites = aStatus.mWithheldWrites;
   digest.mDemand = aStatus.mDemand;
   digest.mLoads = mParts.mEndpoints.OwnLoads();
   digest.mOrganisationUsage = mParts.mRateLimiter.Totals();
--- a/packages/dispatch/src/peer_table.cpp
+++ b/packages/dispatch/src/peer_table.cpp
@@ -35,11 +35,17 @@
   if (!peer.mIsLive) {
     mChanges.push_back({ aDigest.mSender, true });
   }
-  peer = peer_state{ aDigest.mIncarnation,    aDigest.mSequence,
-                     aDigest.mPosition,       aDigest.mConfigurationVersion,
-                     aDigest.mIsSourceStable, true,
-                     aDigest.mIsLeaving,      aDigest.mDemand,
-                     aDigest.mZone,           aNow };
+  peer = peer_state{ aDigest.mIncarnation,
+                     aDigest.mSequence,
+                     aDigest.mPosition,
+                     aDigest.mConfigurationVersion,
+                     aDigest.mIsSourceStable,
+                     true,
+                     aDigest.mIsLeaving,
+                     aDigest.mWithheldWrites,
+                     aDigest.mDemand,
+                     aDigest.mZone,
+                     aNow };
   mCandidates.erase(aDigest.mSender);
   for (const auto& address : aDigest.mPeers) {
     if (address != mSelf && !mPeers.contains(address)) {
@@ -170,6 +176,18 @@
   return best;
 }
 
+auto peer_table::FindPeerWithholdingMoreThan(std::size_t aCount) const -> std::optional<std::string>
+{
+  auto best = std::optional<std::string>();
+  for (const auto& [address, peer] : mPeers) {
+    if (peer.mIsLive && peer.mWithheldWrites > aCount) {
+      aCount = peer.mWithheldWrites;
+      best = address;
+    }
+  }
+  return best;
+}
+
 auto peer_table::FindPeerWithConfigurationAbove(std::uint64_t aVersion) const
   -> std::optional<std::string>
 {
--- a/packages/dispatch/src/published_items.cpp
+++ b/packages/dispatch/src/published_items.cpp
@@ -9,6 +9,9 @@
 published_items::published_items(owner_version_reader aVersionOf, source_bounds aBounds)
   : mVersionOf(std::move(aVersionOf))
   , mSource(aBounds)
+  , mItemExpiry(aBounds.mRenewalInterval > duration::zero()
+                  ? duration(aBounds.mRenewalInterval * kRenewalsToExpiry)
+                  : duration(kLeaseExpiry))
 {
 }
 
@@ -18,8 +21,9 @@
 {
   const auto position = aSnapshot.Position();
   if (position < mPosition) {
-    return aOrigin == item_origin::Peer && MergeLaterVersions(std::move(aSnapshot));
+    return aOrigin == item_origin::Peer && MergeLaterWrites(std::move(aSnapshot), aNow);
   }
+  mFilled = mFilled.value_or(aNow);
   // A new history may lack what was written shortly before, until it is written again.
   if (position.mHistory > mPosition.mHistory && !mItems.empty()) {
     mSource.OnRestored(aNow);
@@ -30,8 +34,13 @@
     listed.insert(item.mKey);
     ApplyWrite(std::move(item), aNow);
   }
-  std::erase_if(mWithheld,
-                [&listed](const auto& aEntry) { return !listed.contains(aEntry.first); });
+  MergeWithheld(aSnapshot.mWithheld, aNow);
+  std::erase_if(mWithheld, [&](const auto& aEntry) {
+    return !listed.contains(aEntry.first) &&
+           std::none_of(aSnapshot.mWithheld.begin(),
+                        aSnapshot.mWithheld.end(),
+                        [&](const auto& aReport) { return aReport.mItem.mKey == aEntry.first; });
+  });
   auto missing = std::vector<std::string>();
   for (const auto& [key, item] : mItems) {
     // An item that is newer than the snapshot may not have existed when the snapshot was taken.
@@ -45,7 +54,7 @@
     if (isDeferred) {
       Defer(key, mSource.GraceEnd(), aNow);
     } else {
-      Erase(key, aNow);
+      Erase(key, false, aNow);
     }
   }
   return true;
@@ -53,24 +62,36 @@
 
 auto published_items::ApplyWrite(published_item aItem, time_point aNow) -> bool
 {
+  const auto withheld = mWithheld.find(aItem.mKey);
+  if (withheld != mWithheld.end() && withheld->second.mItem.Position() == aItem.Position()) {
+    return false;
+  }
   const auto found = mItems.find(aItem.mKey);
-  const auto isSameWrite = found != mItems.end() && found->second.Position() == aItem.Position();
-  aItem.mVersion = isSameWrite ? found->second.mVersion : ReadVersion(aItem);
-  if (found != mItems.end() && !Replaces(aItem, found->second)) {
-    if (aItem.mHistory > found->second.mHistory && IsOtherIncarnation(aItem, found->second)) {
-      mWithheld.insert_or_assign(aItem.mKey, aItem);
+  if (found == mItems.end()) {
+    aItem.mVersion = ReadVersion(aItem);
+    const auto* removed = RemovalAfter(aItem, aNow);
+    if (removed != nullptr) {
+      const auto isRestored = aItem.mHistory > removed->mHistory;
+      Withhold(
+        std::move(aItem), removed->mVersion, removed->mHistory, isRestored ? aNow : removed->mTime);
+      return false;
     }
-    return false;
+  } else {
+    auto& held = found->second;
+    // Only another write renews an item; a peer may have the same one.
+    const auto isSameWrite = held.Position() == aItem.Position();
+    aItem.mVersion = isSameWrite ? held.mVersion : ReadVersion(aItem);
+    aItem.mIsExpired = aItem.mIsExpired || (isSameWrite && held.mIsExpired);
+    if (!Replaces(aItem, held)) {
+      WithholdIfListed(std::move(aItem), held, aNow);
+      return false;
+    }
+    // A peer may have the later write, while the source lists the earlier one.
+    WithholdIfListed(std::move(held), aItem, aNow);
   }
-  // Only another write renews an item; a peer may have the same one.
-  aItem.mIsExpired = aItem.mIsExpired || (isSameWrite && found->second.mIsExpired);
   auto key = aItem.mKey;
-  if (found == mItems.end() && IsRemovedVersion(aItem)) {
-    mWithheld.insert_or_assign(std::move(key), std::move(aItem));
-    return false;
-  }
   mRemovals.erase(key);
-  mWithheld.erase(key);
+  DropWithheld(key, aItem.Position());
   if (aItem.mIsExpired) {
     mDeferred.try_emplace(key, deferred_removal{ aNow, aNow + mSource.MaxWait() });
   } else {
@@ -85,7 +106,10 @@
                                    time_point aNow) -> bool
 {
   const auto key = std::string(aKey);
-  const auto wasWithheld = mWithheld.erase(key) > 0;
+  const auto wasWithheld = DropWithheld(key, aPosition);
+  if (const auto removed = mRemovals.find(key); wasWithheld && removed != mRemovals.end()) {
+    removed->second.mTime = aNow;
+  }
   const auto found = mItems.find(key);
   if (found == mItems.end() || found->second.Position() > aPosition) {
     return wasWithheld;
@@ -93,7 +117,7 @@
   if (DefersRemovals(aNow)) {
     Defer(key, std::min<time_point>(mSource.GraceEnd(), aNow + mSource.MaxWait()), aNow);
   } else {
-    Erase(key, aNow);
+    Erase(key, false, aNow);
   }
   return true;
 }
@@ -131,22 +155,33 @@
       }
     }
     for (const auto& key : due) {
-      Erase(key, aNow);
+      Erase(key, !mIsConfirmedByPeer, aNow);
     }
     hasChanged = !due.empty();
   }
-  if (!mWithheld.empty() && mSource.IsReachable() &&
-      aNow - mSource.LastDisturbance() >= kLeaseExpiry) {
-    for (auto& [key, item] : std::exchange(mWithheld, {})) {
+  if (mSource.IsReachable()) {
+    std::erase_if(mWithheld, [&](auto& aEntry) {
+      auto& [key, withheld] = aEntry;
+      if (aNow - std::max(withheld.mSince, mSource.LastDisturbance()) < withheld.mWait) {
+        return false;
+      }
+      mWithheldEvents.push_back(
+        { withheld_change::Renewed, key, *withheld.mItem.mVersion, withheld.mLater });
       mRemovals.erase(key);
       mDeferred.erase(key);
-      mItems.insert_or_assign(key, std::move(item));
-    }
-    hasChanged = true;
+      mItems.insert_or_assign(key, std::move(withheld.mItem));
+      hasChanged = true;
+      return true;
+    });
   }
   return hasChanged;
 }
 
+auto published_items::TakeWithheldEvents() -> std::vector<withheld_event>
+{
+  return std::exchange(mWithheldEvents, {});
+}
+
 auto published_items::NextRemoval() const -> std::optional<time_point>
 {
   auto next = std::optional<time_point>();
@@ -166,9 +201,12 @@
   return found == mItems.end() ? nullptr : &found->second;
 }
 
-auto published_items::Snapshot() const -> published_snapshot
+auto published_items::Snapshot(time_point aNow) const -> published_snapshot
 {
   auto snapshot = published_snapshot{ mPosition.mRevision, {}, mPosition.mHistory };
+  for (const auto& [key, withheld] : mWithheld) {
+    snapshot.mWithheld.push_back({ withheld.mItem, aNow - withheld.mSince });
+  }
   snapshot.mItems.reserve(mItems.size());
   for (const auto& [key, item] : mItems) {
     snapshot.mItems.push_back(item);
@@ -190,7 +228,7 @@
   }
 }
 
-auto published_items::Erase(const std::string& aKey, time_point aNow) -> void
+auto published_items::Erase(const std::string& aKey, bool aMayHaveExpired, time_point aNow) -> void
 {
   mDeferred.erase(aKey);
   const auto found = mItems.find(aKey);
@@ -204,40 +242,94 @@
           return aLeft.second.mTime < aRight.second.mTime;
         }));
     }
-    mRemovals.insert_or_assign(aKey, removal{ *version, mPosition.mHistory, aNow });
+    mRemovals.insert_or_assign(aKey,
+                               removal{ *version, mPosition.mHistory, aNow, aMayHaveExpired });
   }
   mItems.erase(found);
 }
 
-auto published_items::Replaces(const published_item& aItem, const published_item& aHeld) const
-  -> bool
+auto published_items::WithholdIfListed(published_item aItem,
+                                       const published_item& aLater,
+                                       time_point aNow) -> void
 {
-  if (aItem.mHistory != aHeld.mHistory) {
-    const auto& version = aItem.mVersion;
-    const auto& held = aHeld.mVersion;
-    if (version && held && *version != *held) {
-      return *version > *held;
-    }
+  if (aItem.mVersion && aLater.mVersion && aItem.Position() > aLater.Position()) {
+    Withhold(std::move(aItem), *aLater.mVersion, aLater.mHistory, aNow);
   }
-  return aItem.Position() >= aHeld.Position();
 }
 
-auto published_items::IsOtherIncarnation(const published_item& aItem,
-                                         const published_item& aHeld) const -> bool
+auto published_items::Withhold(published_item aItem,
+                               const owner_version& aLater,
+                               std::uint64_t aHistory,
+                               time_point aSince) -> void
+{
+  // An item that does not expire would take effect although its owner has not renewed it.
+  const auto version = *aItem.mVersion;
+  if (version.mIncarnation == 0) {
+    return;
+  }
+  const auto isRestored = aItem.mHistory > aHistory;
+  const auto [found, isNew] = mWithheld.try_emplace(aItem.mKey);
+  auto& withheld = found->second;
+  const auto isSameIncarnation =
+    !isNew && withheld.mItem.mVersion->mIncarnation == version.mIncarnation;
+  if (isSameIncarnation && version < *withheld.mItem.mVersion) {
+    return;
+  }
+  if (!isSameIncarnation) {
+    withheld.mSince = aSince;
+  }
+  if (isNew || withheld.mItem.Position() != aItem.Position()) {
+    mWithheldEvents.push_back({ withheld_change::Withheld, aItem.mKey, version, aLater });
+  }
+  withheld.mItem = std::move(aItem);
+  withheld.mLater = aLater;
+  // Several late writes may follow each other, each of which keeps the item alive.
+  withheld.mWait = isRestored ? duration(kLeaseExpiry) : duration(kMaxWriteDelay + mItemExpiry);
+}
+
+auto published_items::DropWithheld(std::string_view aKey, source_position aPosition) -> bool
+{
+  const auto found = mWithheld.find(aKey);
+  if (found == mWithheld.end() || found->second.mItem.Position() > aPosition) {
+    return false;
+  }
+  mWithheld.erase(found);
+  return true;
+}
+
+auto published_items::Replaces(const published_item& aItem, const published_item& aHeld) -> bool
 {
   const auto& version = aItem.mVersion;
   const auto& held = aHeld.mVersion;
-  return version && held && version->mIncarnation != held->mIncarnation;
+  if (version && held && *version != *held) {
+    return *version > *held;
+  }
+  return aItem.Position() >= aHeld.Position();
 }
 
-auto published_items::IsRemovedVersion(const published_item& aItem) const -> bool
+auto published_items::RemovalAfter(const published_item& aItem, time_point aNow) const
+  -> const removal*
 {
   const auto found = mRemovals.find(aItem.mKey);
-  if (found == mRemovals.end() || aItem.mHistory <= found->second.mHistory) {
-    return false;
+  if (found == mRemovals.end() || !aItem.mVersion || aItem.mVersion->mIncarnation == 0 ||
+      aItem.mHistory < found->second.mHistory) {
+    return nullptr;
   }
-  const auto& version = aItem.mVersion;
-  return version && *version <= found->second.mVersion;
+  const auto& version = *aItem.mVersion;
+  const auto& removed = found->second;
+  // A restored source lists the item as it was before.
+  auto isBefore = version < removed.mVersion ||
+                  (version == removed.mVersion && aItem.mHistory > removed.mHistory);
+  if (aItem.mHistory == removed.mHistory && !removed.mMayHaveExpired) {
+    // The last write that is known here may not be the last one of the owner, since the source
+    // tells only of those that change more than the number.
+    const auto withheld = mWithheld.find(aItem.mKey);
+    const auto mayBeLate = aNow - removed.mTime < kMaxWriteDelay + kDeliveryMargin ||
+                           (withheld != mWithheld.end() &&
+                            withheld->second.mItem.mVersion->mIncarnation == version.mIncarnation);
+    isBefore = isBefore || (mayBeLate && version.mIncarnation == removed.mVersion.mIncarnation);
+  }
+  return isBefore ? &removed : nullptr;
 }
 
 auto published_items::ReadVersion(const published_item& aItem) const -> std::optional<owner_version>
@@ -245,14 +337,30 @@
   return mVersionOf ? mVersionOf(aItem) : std::nullopt;
 }
 
-auto published_items::MergeLaterVersions(published_snapshot aSnapshot) -> bool
+auto published_items::MergeLaterWrites(published_snapshot aSnapshot, time_point aNow) -> bool
+{
+  const auto hasLater = MergeLaterVersions(std::move(aSnapshot.mItems), aNow);
+  const auto hasWithheld = MergeWithheld(aSnapshot.mWithheld, aNow);
+  return hasLater || hasWithheld;
+}
+
+auto published_items::MayHaveLateWrites(time_point aNow) const -> bool
+{
+  return mFilled && aNow - *mFilled < kMaxWriteDelay + mItemExpiry;
+}
+
+auto published_items::MergeLaterVersions(std::vector<published_item> aItems, time_point aNow)
+  -> bool
 {
   auto hasChanged = false;
-  for (auto& item : aSnapshot.mItems) {
+  for (auto& item : aItems) {
     const auto found = mItems.find(item.mKey);
+    if (found == mItems.end() || item.Position() == found->second.Position()) {
+      continue;
+    }
     item.mVersion = ReadVersion(item);
-    if (found != mItems.end() && item.Position() != found->second.Position() &&
-        Replaces(item, found->second)) {
+    if (Replaces(item, found->second)) {
+      WithholdIfListed(std::move(found->second), item, aNow);
       // The sender's view of what has expired is outdated.
       item.mIsExpired = false;
       mDeferred.erase(found->first);
@@ -263,4 +371,31 @@
   return hasChanged;
 }
 
+auto published_items::MergeWithheld(const std::vector<withheld_report>& aWithheld, time_point aNow)
+  -> bool
+{
+  auto hasChanged = false;
+  for (const auto& report : aWithheld) {
+    auto item = report.mItem;
+    item.mVersion = ReadVersion(item);
+    if (!item.mVersion || mWithheld.contains(item.mKey)) {
+      continue;
+    }
+    if (const auto found = mItems.find(item.mKey); found != mItems.end()) {
+      const auto& held = found->second;
+      if (!held.mVersion || *held.mVersion > *item.mVersion || held.Position() > item.Position()) {
+        continue;
+      }
+      hasChanged = true;
+      Erase(item.mKey, false, aNow);
+    } else if (item.Position() <= mPosition) {
+      // It has been removed since.
+      continue;
+    }
+    const auto version = *item.mVersion;
+    Withhold(std::move(item), version, mPosition.mHistory, aNow - report.mAge);
+  }
+  return hasChanged;
+}
+
 } // namespace bronzering
--- a/packages/dispatch/tests/published_items_test.cpp
+++ b/packages/dispatch/tests/published_items_test.cpp
@@ -107,7 +107,7 @@
     items->ApplySnapshot({ 20, { { "document", "v1", 4 } } }, item_origin::Source, back);
     REQUIRE(items->Find("endpoint") != nullptr);
   }
-  REQUIRE(second.ApplySnapshot(first.Snapshot(), item_origin::Peer, back));
+  REQUIRE(second.ApplySnapshot(first.Snapshot(back), item_origin::Peer, back));
   CHECK(second.Find("endpoint") != nullptr);
   CHECK(second.ApplyDeferredChanges(back + published_items::kRenewalGrace));
   CHECK(second.Find("endpoint") == nullptr);
@@ -115,7 +115,7 @@
   SECTION("and at an entry that first learns of it from them")
   {
     auto third = published_items();
-    REQUIRE(third.ApplySnapshot(first.Snapshot(), item_origin::Peer, back));
+    REQUIRE(third.ApplySnapshot(first.Snapshot(back), item_origin::Peer, back));
     third.OnSourceAnswer(back);
     CHECK(third.ApplyDeferredChanges(back + published_items::kRenewalGrace));
     CHECK(third.Find("endpoint") == nullptr);
@@ -145,7 +145,7 @@
 TEST_CASE("a snapshot from a peer is used while the source is unreachable", "[published_items]")
 {
   auto items = published_items();
-  CHECK(items.ApplySnapshot(Items().Snapshot(), item_origin::Peer, kStart));
+  CHECK(items.ApplySnapshot(Items().Snapshot(kStart), item_origin::Peer, kStart));
   CHECK(items.Position() == source_position{ 0, 10 });
   CHECK(items.Find("document")->mValue == "v1");
 }
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -9,6 +9,7 @@
 #include "with_timeout.h"
 
 #include <bronzering/base/boot_clock.h>
+#include <bronzering/base/name_table.h>
 #include <bronzering/gateway/http_get.h>
 
 #include <boost/asio/co_spawn.hpp>
@@ -33,6 +34,8 @@
 /// Delay before items are fetched from a peer. Most often the entry's own source delivers them
 /// within it.
 constexpr auto kPeerFetchDelay = duration(std::chrono::milliseconds(300));
+/// Time between two fetches of outdated writes. They are not worth more, since they expire.
+constexpr auto kLateWritesInterval = std::chrono::seconds(1);
 constexpr auto kPeerFetchTimeout = duration(std::chrono::milliseconds(500));
 /// The same for a fetch of all items. A megabyte takes 0.8 s on a link of 10 Mbit/s.
 constexpr auto kPeerFullFetchTimeout = duration(std::chrono::milliseconds(2'000));
@@ -42,6 +45,21 @@
 constexpr auto kCloseIdleAfterStop = duration(std::chrono::milliseconds(2'500));
 constexpr auto kStopPollInterval = std::chrono::milliseconds(50);
 
+/// Why items are taken from a peer.
+enum class fetch_reason
+{
+  /// The peer has a configuration that the source may have lost.
+  Configuration,
+  /// The source is unreachable, or has not been read yet.
+  Source,
+  /// The peer may know that writes which the source lists are outdated.
+  LateWrites
+};
+constexpr auto kFetchReasonNames =
+  name_table<fetch_reason, 3>{ { { { fetch_reason::Configuration, "configuration" },
+                                   { fetch_reason::Source, "source" },
+                                   { fetch_reason::LateWrites, "late_writes" } } } };
+
 } // namespace
 
 struct entry_gateway::state : std::enable_shared_from_this<entry_gateway::state>
@@ -76,8 +94,13 @@
   /// Ends the process when all callers have been answered, or at the end of the shutdown.
   auto DrainAndStop() -> boost::asio::awaitable<void>;
   auto FetchFromPeer() -> boost::asio::awaitable<void>;
+  struct peer_fetch
+  {
+    std::string mPeer;
+    fetch_reason mReason = fetch_reason::Source;
+  };
   /// The peer whose items this entry should take, if its own source does not give it the latest.
-  [[nodiscard]] auto PeerToFetchFrom() const -> std::optional<std::string>;
+  [[nodiscard]] auto NextFetch() const -> std::optional<peer_fetch>;
   auto OnNewerPeerItems() -> void;
   /// Applies the deferred changes of items that are due, and calls itself when the next one is.
   auto ApplyDeferredChanges() -> void;
@@ -86,6 +109,8 @@
   auto AdoptRetryBudgets(const std::vector<service_spec>& aServices) -> void;
   auto AdoptEndpoints() -> void;
   auto AdoptEvacuatedZones(time_point aNow) -> void;
+  /// Logs which writes are withheld since they are older than what has taken effect.
+  auto LogWithheldWrites(time_point aNow) -> void;
   /// Logs that items of the source were ignored because the copy has later ones.
   auto LogOutdatedItems(source_position aPosition,
                         std::string_view aWhat,
@@ -109,6 +134,8 @@
   /// used, or may take longer, since the last one was not there in time.
   bool mNeedsAllItems = false;
   bool mNeedsMoreTime = false;
+  /// When this entry last asked a peer for outdated writes.
+  time_point mLateWritesFetched;
   std::set<std::string> mRejectedItems;
 };
 
@@ -236,8 +263,11 @@
   const auto now = ReadBootClock();
   items.SetConfirmedByPeer(mShared.mPeers.IsConfirmedByPeer(items.Position()));
   if (items.ApplyDeferredChanges(now)) {
+    LogWithheldWrites(now);
     AdoptEndpoints();
   }
+  mShared.mMetrics.Gauge("bronzering_withheld_writes")
+    .Set(static_cast<std::int64_t>(items.WithheldCount()));
   mShared.mMetrics.Gauge("bronzering_deferred_removals")
     .Set(static_cast<std::int64_t>(items.DeferredCount()));
   if (const auto next = items.NextRemoval()) {
@@ -285,15 +315,28 @@
     boost::asio::detached);
 }
 
-auto entry_gateway::state::PeerToFetchFrom() const -> std::optional<std::string>
+auto entry_gateway::state::NextFetch() const -> std::optional<peer_fetch>
 {
+  const auto now = ReadBootClock();
+  const auto& peers = mShared.mPeers;
+  const auto& items = mShared.mItems;
+  const auto fetchFrom = [](const std::optional<std::string>& aPeer, fetch_reason aReason) {
+    return aPeer ? std::optional(peer_fetch{ *aPeer, aReason }) : std::nullopt;
+  };
   // A peer may have a configuration that the source has lost, if the source was restored from an
   // older copy.
-  if (mShared.mConfigurationLag.IsLate(ReadBootClock())) {
-    return mShared.mPeers.FindPeerWithConfigurationAbove(mShared.ConfigurationVersion());
+  if (mShared.mConfigurationLag.IsLate(now)) {
+    return fetchFrom(peers.FindPeerWithConfigurationAbove(mShared.ConfigurationVersion()),
+                     fetch_reason::Configuration);
+  }
+  if (!items.IsSourceReachable() || !mShared.mRoutes) {
+    return fetchFrom(peers.FindNewerPeer(items.Position()), fetch_reason::Source);
+  }
+  if (items.MayHaveLateWrites(now) && now - mLateWritesFetched >= kLateWritesInterval) {
+    return fetchFrom(peers.FindPeerWithholdingMoreThan(items.WithheldCount()),
+                     fetch_reason::LateWrites);
   }
-  const auto isSourceLate = !mShared.mItems.IsSourceReachable() || !mShared.mRoutes;
-  return isSourceLate ? mShared.mPeers.FindNewerPeer(mShared.mItems.Position()) : std::nullopt;
+  return std::nullopt;
 }
 
 auto entry_gateway::state::FetchFromPeer() -> boost::asio::awaitable<void>
@@ -301,15 +344,16 @@
   auto timer = boost::asio::steady_timer(mShared.mContext);
   timer.expires_after(kPeerFetchDelay);
   co_await timer.async_wait(kUseTuple);
-  if (const auto peer = PeerToFetchFrom(); peer) {
-    auto address = *peer + ":" + std::to_string(mShared.mSettings.mOperatorPort);
+  if (const auto fetch = NextFetch(); fetch) {
+    auto address = fetch->mPeer + ":" + std::to_string(mShared.mSettings.mOperatorPort);
     auto client =
       http_get_client(mShared.mContext.get_executor(), std::move(address), kMaxSnapshotBytes);
     // All items may take longer than the bounds allow on a slow link, so an entry that has items
     // asks only for what has changed since. Its position does not show that it lacks a
-    // configuration which the source has lost and peers still have.
-    const auto isLate = mShared.mConfigurationLag.IsLate(ReadBootClock());
-    const auto asksForAll = mNeedsAllItems || mShared.mItems.Items().empty() || isLate;
+    // configuration which the source has lost and peers still have, or an item of which the source
+    // lists an outdated write.
+    const auto asksForAll =
+      mNeedsAllItems || mShared.mItems.Items().empty() || fetch->mReason != fetch_reason::Source;
     const auto timeout = asksForAll || mNeedsMoreTime ? kPeerFullFetchTimeout : kPeerFetchTimeout;
     auto target = ItemsTarget(asksForAll ? std::nullopt : std::optional(mShared.mItems.Position()));
     const auto answer = co_await client.Get(std::move(target), timeout);
@@ -319,20 +363,28 @@
     mNeedsAllItems = !snapshot && (asksForAll || answer);
     const auto now = ReadBootClock();
     const auto fetched = snapshot ? snapshot->Position() : source_position();
-    if (isLate || snapshot) {
+    if (fetch->mReason == fetch_reason::Configuration || snapshot) {
       mShared.mConfigurationLag.Restart(now);
     }
-    const auto isApplied =
-      snapshot && mShared.mItems.ApplySnapshot(std::move(*snapshot), item_origin::Peer, now);
+    auto isApplied = false;
+    if (fetch->mReason == fetch_reason::LateWrites) {
+      mLateWritesFetched = now;
+      isApplied = snapshot && mShared.mItems.MergeLaterWrites(std::move(*snapshot), now);
+    } else {
+      isApplied =
+        snapshot && mShared.mItems.ApplySnapshot(std::move(*snapshot), item_origin::Peer, now);
+    }
     mShared.mLog.Write(log_priority::Notable,
                        "items_from_peer",
-                       { { "peer", *peer },
+                       { { "peer", fetch->mPeer },
+                         { "reason", kFetchReasonNames.NameOf(fetch->mReason) },
                          { "revision", fetched.mRevision },
                          { "history", fetched.mHistory },
                          { "all", asksForAll },
                          { "bytes", answer ? answer->mBody.size() : 0 },
                          { "applied", isApplied } },
                        now);
+    LogWithheldWrites(now);
     if (isApplied) {
       AdoptDocument();
       AdoptEndpoints();
@@ -479,6 +531,22 @@
   mShared.mDispatchWaiter.Wake();
 }
 
+auto entry_gateway::state::LogWithheldWrites(time_point aNow) -> void
+{
+  for (const auto& event : mShared.mItems.TakeWithheldEvents()) {
+    mShared.mLog.Write(log_priority::Notable,
+                       "outdated_write",
+                       { { "item", event.mKey },
+                         { "change", kWithheldChangeNames.NameOf(event.mChange) },
+                         { "incarnation", event.mVersion.mIncarnation },
+                         { "write", event.mVersion.mNumber },
+                         { "later_incarnation", event.mLater.mIncarnation },
+                         { "later_write", event.mLater.mNumber },
+                         { "source_reachable", mShared.mItems.IsSourceReachable() } },
+                       aNow);
+  }
+}
+
 auto entry_gateway::state::LogOutdatedItems(source_position aPosition,
                                             std::string_view aWhat,
                                             std::size_t aCount,
@@ -511,7 +579,7 @@
   if (const auto items = ParseItemsTarget(aTarget); items && mShared.mRoutes) {
     return { 200,
              "application/octet-stream",
-             EncodeSnapshot(mShared.mItems.Snapshot(), items->mKnown) };
+             EncodeSnapshot(mShared.mItems.Snapshot(ReadBootClock()), items->mKnown) };
   }
   return { 404, "text/plain", "not found\n" };
 }
@@ -546,6 +614,7 @@
     mState->LogOutdatedItems(position, "snapshot", 1, now);
     return;
   }
+  mState->LogWithheldWrites(now);
   mState->AdoptDocument();
   mState->AdoptEndpoints();
 }
@@ -564,6 +633,7 @@
   }
   if (outdated > 0) {
     mState->LogOutdatedItems(aPosition, "changes", outdated, now);
+    mState->LogWithheldWrites(now);
   }
   items.AdvanceTo(aPosition);
   if (!aChanges.empty()) {
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -96,9 +96,11 @@
   }
   ReportPeerChanges(aNow);
   auto isNewer = false;
+  const auto& items = mState.mItems;
   for (const auto& digest : aReceived.mAccepted) {
     UpdateConfigurationLag(digest, aNow);
-    isNewer = isNewer || digest.mPosition > mState.mItems.Position();
+    isNewer = isNewer || digest.mPosition > items.Position() ||
+              (digest.mWithheldWrites > items.WithheldCount() && items.MayHaveLateWrites(aNow));
   }
   // Waiting requests are decided about at short intervals anyway; in a large fleet, digests arrive
   // far more often.
@@ -140,8 +142,11 @@
 {
   const auto now = ReadBootClock();
   const auto status = digest_exchange::entry_status{
-    mState.mShutdown.IsStopping(), mState.mRoutes ? mState.mItems.Position() : source_position(),
-    mState.ConfigurationVersion(), mState.mItems.IsSourceStable(now),
+    mState.mShutdown.IsStopping(),
+    mState.mRoutes ? mState.mItems.Position() : source_position(),
+    mState.ConfigurationVersion(),
+    mState.mItems.IsSourceStable(now),
+    static_cast<std::uint32_t>(mState.mItems.WithheldCount()),
     mState.mDemand.At(now),
   };
   for (const auto& message : mExchange.TakeMessages(status, now)) {
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -21,8 +21,9 @@
 class peer_channel
 {
 public:
-  /// aOnNewerItems is called for each digest from a peer that holds newer items, and for each
-  /// digest while this entry lacks a configuration that a peer has.
+  /// aOnNewerItems is called for each digest from a peer that holds newer items, or that withholds
+  /// writes which this entry may have, and for each digest while this entry lacks a configuration
+  /// that a peer has.
   peer_channel(gateway_state& aState, std::function<void()> aOnNewerItems);
 
   [[nodiscard]] auto Open() -> outcome<void>;
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -116,7 +116,8 @@
                                   aDigest.mIsFull,
                                   aDigest.mConfigurationVersion,
                                   aDigest.mPosition.mHistory,
-                                  aDigest.mZone);
+                                  aDigest.mZone,
+                                  aDigest.mWithheldWrites);
 }
 
 auto Read(const peer::Digest& aMessage) -> std::optional<peer_digest>
@@ -133,6 +134,7 @@
   digest.mPosition = { aMessage.history(), aMessage.revision() };
   digest.mIsSourceStable = aMessage.is_settled();
   digest.mIsFull = aMessage.is_full();
+  digest.mWithheldWrites = aMessage.withheld_writes();
   digest.mConfigurationVersion = aMessage.configuration_version();
   if (aMessage.loads() != nullptr) {
     for (const auto* load : *aMessage.loads()) {
@@ -269,16 +271,24 @@
     return aKnown && aItem.mHistory == aKnown->mHistory && aItem.mRevision <= aKnown->mRevision;
   };
   auto builder = flatbuffers::FlatBufferBuilder();
+  const auto write = [&builder](const published_item& aItem, bool aHasValue) {
+    const auto key = builder.CreateString(aItem.mKey);
+    const auto value =
+      aHasValue ? builder.CreateString(aItem.mValue) : flatbuffers::Offset<flatbuffers::String>();
+    return peer::CreateItem(builder, key, value, aItem.mRevision, aItem.mHistory, aItem.mIsExpired);
+  };
   auto items = std::vector<flatbuffers::Offset<peer::Item>>();
   for (const auto& item : aSnapshot.mItems) {
-    const auto key = builder.CreateString(item.mKey);
-    const auto value = isKnown(item) ? flatbuffers::Offset<flatbuffers::String>()
-                                     : builder.CreateString(item.mValue);
-    items.push_back(
-      peer::CreateItem(builder, key, value, item.mRevision, item.mHistory, item.mIsExpired));
+    items.push_back(write(item, !isKnown(item)));
+  }
+  auto withheld = std::vector<flatbuffers::Offset<peer::WithheldWrite>>();
+  for (const auto& report : aSnapshot.mWithheld) {
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(report.mAge).count();
+    const auto item = write(report.mItem, true);
+    withheld.push_back(peer::CreateWithheldWrite(builder, item, Clamp<std::uint32_t>(age)));
   }
-  builder.Finish(
-    peer::CreateSnapshotDirect(builder, aSnapshot.mRevision, &items, aSnapshot.mHistory));
+  builder.Finish(peer::CreateSnapshotDirect(
+    builder, aSnapshot.mRevision, &items, aSnapshot.mHistory, &withheld));
   return Finished(builder);
 }
 
@@ -290,26 +300,42 @@
     return std::nullopt;
   }
   auto snapshot = published_snapshot{ message->revision(), {}, message->history() };
-  if (message->items() == nullptr) {
-    return snapshot;
-  }
-  for (const auto* item : *message->items()) {
-    if (item->key() == nullptr) {
-      continue;
-    }
-    auto decoded = published_item{
-      item->key()->str(), {}, item->revision(), item->history(), item->is_expired()
+  const auto read = [&aHeld](const peer::Item& aItem) -> std::optional<published_item> {
+    auto item = published_item{
+      aItem.key()->str(), {}, aItem.revision(), aItem.history(), aItem.is_expired()
     };
-    if (item->value() != nullptr) {
-      decoded.mValue = item->value()->str();
+    if (aItem.value() != nullptr) {
+      item.mValue = aItem.value()->str();
     } else {
-      const auto* held = aHeld.Find(decoded.mKey);
-      if (held == nullptr || held->Position() != decoded.Position()) {
+      const auto* held = aHeld.Find(item.mKey);
+      if (held == nullptr || held->Position() != item.Position()) {
+        return std::nullopt;
+      }
+      item.mValue = held->mValue;
+    }
+    return item;
+  };
+  if (message->items() != nullptr) {
+    for (const auto* encoded : *message->items()) {
+      if (encoded->key() == nullptr) {
+        continue;
+      }
+      auto item = read(*encoded);
+      if (!item) {
         return std::nullopt;
       }
-      decoded.mValue = held->mValue;
+      snapshot.mItems.push_back(std::move(*item));
+    }
+  }
+  if (message->withheld() != nullptr) {
+    for (const auto* report : *message->withheld()) {
+      const auto* encoded = report->item();
+      if (encoded == nullptr || encoded->key() == nullptr || encoded->value() == nullptr) {
+        continue;
+      }
+      snapshot.mWithheld.push_back(
+        { *read(*encoded), std::chrono::milliseconds(report->age_ms()) });
     }
-    snapshot.mItems.push_back(std::move(decoded));
   }
   return snapshot;
 }
--- a/packages/gateway/tests/peer_codec_test.cpp
+++ b/packages/gateway/tests/peer_codec_test.cpp
@@ -99,8 +99,10 @@
 
 TEST_CASE("a decoded snapshot equals the encoded one", "[peer_codec]")
 {
-  const auto snapshot =
-    published_snapshot{ 12, { { "key", std::string("a\0b", 3), 11, 2, true } }, 3 };
+  const auto text = std::string("a\0b", 3);
+  const auto snapshot = published_snapshot{
+    12, { { "key", text, 11, 2, true } }, 3, { { { "late", text, 12, 3 }, 1'500ms } }
+  };
   const auto decoded = DecodeSnapshot(EncodeSnapshot(snapshot), published_items());
   REQUIRE(decoded);
   CHECK(decoded->Position() == source_position{ 3, 12 });
@@ -109,6 +111,11 @@
   CHECK(decoded->mItems[0].mValue == snapshot.mItems[0].mValue);
   CHECK(decoded->mItems[0].Position() == source_position{ 2, 11 });
   CHECK(decoded->mItems[0].mIsExpired);
+  REQUIRE(decoded->mWithheld.size() == 1);
+  CHECK(decoded->mWithheld[0].mItem.mKey == "late");
+  CHECK(decoded->mWithheld[0].mItem.mValue == text);
+  CHECK(decoded->mWithheld[0].mItem.Position() == source_position{ 3, 12 });
+  CHECK(decoded->mWithheld[0].mAge == 1'500ms);
 }
 
 // All items took longer than the timeout on a slow link, so an entry that was cut off from the
