Charge organisations for what a stopping entry admits

Callers: while the entries were restarted in turn, an organisation that sent more than its limit got up to a tenth more of it run than allowed, at the cost of the others.

Cause: from the first digest with which an entry announced its shutdown, its peers forgot it (OnPeerShutdown). It goes on admitting requests for 2.8 s on the connections that it has, and later those that can end in time, until its process ends.

Change: a peer that is shutting down is charged like any other. The last digest of an entry says that it has ended; it goes to all peers directly and has all totals, and only then is the peer forgotten. If it is lost, the last rate is charged for 8 s, or until the entry has started again. The line dispatched names the units that are charged, so the units of each entry can be summed up from the logs. Why it works: only an entry that has ended admits nothing more, and it says so itself.

--- a/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
+++ b/packages/dispatch/include/bronzering/dispatch/digest_exchange.h
@@ -51,6 +51,8 @@
   struct entry_status
   {
     bool mIsLeaving = false;
+    /// Precondition: mIsLeaving, and nothing is admitted any more.
+    bool mHasEnded = false;
     source_position mPosition;
     std::uint64_t mConfigurationVersion = 0;
     bool mIsSourceStable = false;
@@ -74,7 +76,8 @@
   /// aIncarnation identifies this run of the entry; it differs from those of earlier runs.
   digest_exchange(std::string aSelf, zone_key aZone, std::uint64_t aIncarnation, parts aParts);
 
-  /// The messages to send now.
+  /// The messages to send now. The last one goes to all peers at once: nothing would pass it on in
+  /// time or repeat it.
   [[nodiscard]] auto TakeMessages(const entry_status& aStatus, time_point aNow)
     -> std::vector<addressed_digests>;
   /// Time from one call of TakeMessages to the next.
--- a/packages/dispatch/include/bronzering/dispatch/fleet_rate_limiter.h
+++ b/packages/dispatch/include/bronzering/dispatch/fleet_rate_limiter.h
@@ -50,7 +50,8 @@
 /// Rate limiter for organisations, shared by all entries. Each entry keeps a replica of one token
 /// bucket per organisation and charges it with its own admissions and those that peers report. For
 /// a peer that stops reporting, its last known rate is charged, because it may still be admitting
-/// requests on the other side of a network partition. Not thread-safe: owned by the control thread.
+/// requests on the other side of a network partition. A peer that is shutting down is charged like
+/// any other until it has ended. Not thread-safe: owned by the control thread.
 class fleet_rate_limiter
 {
 public:
@@ -79,8 +80,9 @@
   /// Records that a peer has been running for a while. If this entry has just started, the shared
   /// burst may already be used up, so all buckets are emptied.
   auto OnEstablishedPeer(time_point aNow) -> void;
-  /// Removes a peer that shut down; its last known rate is no longer charged.
-  auto OnPeerShutdown(std::string_view aPeer) -> void;
+  /// Removes a peer whose process has ended; its last known rate is no longer charged.
+  /// Precondition: all that it has admitted was reported.
+  auto OnPeerEnd(std::string_view aPeer) -> void;
 
   [[nodiscard]] auto Totals() const -> std::vector<organisation_usage>;
   /// Units left in the bucket of an organisation, negative if it is in debt; 0 for unknown
--- a/packages/dispatch/include/bronzering/dispatch/peer_digest.h
+++ b/packages/dispatch/include/bronzering/dispatch/peer_digest.h
@@ -33,8 +33,10 @@
   /// Identifies one run of the sender; changes with every restart.
   std::uint64_t mIncarnation = 0;
   std::uint64_t mSequence = 0;
-  /// The sender is shutting down.
+  /// The sender is shutting down. It goes on with the work that can end before it does.
   bool mIsLeaving = false;
+  /// The sender has ended: it admits nothing more, and this is its last digest.
+  bool mHasEnded = false;
   /// Position of the sender's copy of the published items.
   source_position mPosition;
   /// Version of the configuration in force at the sender; 0 while it has none.
--- a/packages/dispatch/src/digest_exchange.cpp
+++ b/packages/dispatch/src/digest_exchange.cpp
@@ -20,10 +20,17 @@
   -> std::vector<addressed_digests>
 {
   auto digest = OwnDigest(aStatus, aNow);
-  mRelay.Keep(digest, aNow);
-  auto messages = mRelay.TakeRound(mParts.mPeers.LivePeers(), aNow);
+  auto messages = std::vector<addressed_digests>();
   auto direct = addressed_digests();
-  direct.mTargets = mParts.mPeers.Targets();
+  if (aStatus.mHasEnded) {
+    for (auto& peer : mParts.mPeers.LivePeers()) {
+      direct.mTargets.push_back(std::move(peer.mAddress));
+    }
+  } else {
+    mRelay.Keep(digest, aNow);
+    messages = mRelay.TakeRound(mParts.mPeers.LivePeers(), aNow);
+    direct.mTargets = mParts.mPeers.Targets();
+  }
   direct.mMessage.mDigests.push_back(std::move(digest));
   messages.push_back(std::move(direct));
   return messages;
@@ -81,6 +88,7 @@
   digest.mIncarnation = mIncarnation;
   digest.mSequence = ++mSequence;
   digest.mIsLeaving = aStatus.mIsLeaving;
+  digest.mHasEnded = aStatus.mHasEnded;
   digest.mPosition = aStatus.mPosition;
   digest.mConfigurationVersion = aStatus.mConfigurationVersion;
   digest.mIsSourceStable = aStatus.mIsSourceStable;
@@ -90,7 +98,7 @@
   digest.mOrganisationUsage = mParts.mRateLimiter.Totals();
   // Only full digests carry data that changes slowly, and the unchanged totals, whose last message
   // may have been lost.
-  digest.mIsFull = mSequence % kFullDigestEvery == 1 || mFullRepeats > 0;
+  digest.mIsFull = mSequence % kFullDigestEvery == 1 || mFullRepeats > 0 || aStatus.mHasEnded;
   mFullRepeats -= std::min(mFullRepeats, 1U);
   if (digest.mIsFull) {
     digest.mSpeeds = mParts.mEndpoints.OwnSpeeds();
@@ -156,15 +164,15 @@
   if (isEstablished) {
     limiter.OnEstablishedPeer(aNow);
   }
-  if (aDigest.mIsLeaving) {
-    limiter.OnPeerShutdown(aDigest.mSender);
-  } else {
-    limiter.OnPeerUsage({ aDigest.mSender,
-                          aDigest.mIncarnation,
-                          aDigest.mIsFull,
-                          isEstablished,
-                          aDigest.mOrganisationUsage },
-                        aNow);
+  // A peer that is shutting down goes on admitting requests until it ends.
+  limiter.OnPeerUsage({ aDigest.mSender,
+                        aDigest.mIncarnation,
+                        aDigest.mIsFull,
+                        isEstablished,
+                        aDigest.mOrganisationUsage },
+                      aNow);
+  if (aDigest.mHasEnded) {
+    limiter.OnPeerEnd(aDigest.mSender);
   }
   mParts.mEndpoints.SetPeerLoads(aDigest.mSender, aDigest.mLoads);
   mParts.mEndpoints.SetPeerSpeeds(aDigest.mSpeeds);
--- a/packages/dispatch/src/fleet_rate_limiter.cpp
+++ b/packages/dispatch/src/fleet_rate_limiter.cpp
@@ -143,7 +143,7 @@
   }
 }
 
-auto fleet_rate_limiter::OnPeerShutdown(std::string_view aPeer) -> void
+auto fleet_rate_limiter::OnPeerEnd(std::string_view aPeer) -> void
 {
   if (const auto found = mPeers.find(aPeer); found != mPeers.end()) {
     mPeers.erase(found);
--- a/packages/dispatch/tests/digest_fleet.cpp
+++ b/packages/dispatch/tests/digest_fleet.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr auto kService = "model";
-constexpr auto kOrganisation = "shop";
 constexpr auto kRequest = token_work{ 1'000, 200 };
 
 /// Entries make their trials at different times, as gateways do.
@@ -27,10 +26,12 @@
 
 digest_fleet::entry_process::entry_process(const std::string& aAddress,
                                            const std::string& aZone,
-                                           std::uint64_t aIncarnation)
+                                           std::uint64_t aIncarnation,
+                                           quota_tolerance aTolerance)
   : mIncarnation(aIncarnation)
   , mPeers(aAddress, HashZone(aZone))
   , mEndpoints(aZone, aAddress)
+  , mRateLimiter(aTolerance)
   , mQuarantine(TrialDelay(aAddress))
   , mExchange(aAddress,
               HashZone(aZone),
@@ -82,8 +83,8 @@
 {
   auto& started = mEntries[aEntry];
   const auto run = ++mRuns;
-  started.mProcess =
-    std::make_unique<entry_process>(started.mAddress, ZoneName(started.mZone), run);
+  started.mProcess = std::make_unique<entry_process>(
+    started.mAddress, ZoneName(started.mZone), run, mOptions.mTolerance);
   auto& process = *started.mProcess;
   // Three seeds in different zones, as far as there are so many.
   auto seeds = std::vector<std::string>();
@@ -106,9 +107,7 @@
     endpoints.push_back(std::move(listed));
   }
   process.mEndpoints.Apply(std::move(endpoints), mNow);
-  auto organisation = organisation_spec();
-  organisation.mName = kOrganisation;
-  process.mRateLimiter.Configure({ organisation }, mNow);
+  process.mRateLimiter.Configure({ mOptions.mOrganisation }, mNow);
   const auto first = mNow + std::chrono::microseconds(mRandom.UniformBelow(300'000));
   At(first, [this, aEntry, run] { Tick(aEntry, run); });
 }
@@ -118,6 +117,13 @@
   mEntries[aEntry].mProcess.reset();
 }
 
+auto digest_fleet::End(std::size_t aEntry) -> void
+{
+  mEntries[aEntry].mProcess->mStatus.mHasEnded = true;
+  SendDigests(aEntry);
+  Kill(aEntry);
+}
+
 auto digest_fleet::Freeze(std::size_t aEntry, duration aTime) -> void
 {
   mEntries[aEntry].mFrozenUntil = mNow + aTime;
@@ -151,19 +157,25 @@
     return;
   }
   auto& process = *sender.mProcess;
+  if (process.mIncarnation != aRun) {
+    return;
+  }
   TakeChanges(process);
+  SendDigests(aEntry);
+  At(mNow + process.mExchange.Interval(), [this, aEntry, aRun] { Tick(aEntry, aRun); });
+}
+
+auto digest_fleet::SendDigests(std::size_t aEntry) -> void
+{
+  const auto& sender = mEntries[aEntry];
+  auto& process = *sender.mProcess;
   for (const auto& message : process.mExchange.TakeMessages(process.mStatus, mNow)) {
     if (message.mMessage.mHop == digest_hop::Direct) {
-      const auto& own = message.mMessage.mDigests.front();
-      // A tick of an earlier run ends here.
-      if (own.mIncarnation != aRun) {
-        return;
-      }
-      mMade[sender.mAddress + "/" + std::to_string(aRun)][own.mSequence] = mNow;
+      const auto run = sender.mAddress + "/" + std::to_string(process.mIncarnation);
+      mMade[run][message.mMessage.mDigests.front().mSequence] = mNow;
     }
     Send(aEntry, message.mTargets, message.mMessage);
   }
-  At(mNow + process.mExchange.Interval(), [this, aEntry, aRun] { Tick(aEntry, aRun); });
 }
 
 auto digest_fleet::Send(std::size_t aFrom,
--- a/packages/dispatch/tests/digest_fleet.h
+++ b/packages/dispatch/tests/digest_fleet.h
@@ -27,13 +27,17 @@
     double mLoss = 0;
     duration mDelayWithinZone = std::chrono::microseconds(300);
     duration mDelayBetweenZones = std::chrono::microseconds(3'500);
+    /// The organisation whose usage the entries share.
+    organisation_spec mOrganisation = { "shop", {}, 0, 0, 0, false, 1 };
+    quota_tolerance mTolerance = {};
   };
   /// One run of an entry's process.
   struct entry_process
   {
     entry_process(const std::string& aAddress,
                   const std::string& aZone,
-                  std::uint64_t aIncarnation);
+                  std::uint64_t aIncarnation,
+                  quota_tolerance aTolerance);
     std::uint64_t mIncarnation;
     peer_table mPeers;
     endpoint_table mEndpoints;
@@ -69,6 +73,8 @@
   auto BeginRequest(std::size_t aEntry, std::size_t aEndpoint) -> void;
   auto EndRequest(std::size_t aEntry) -> void;
   auto Kill(std::size_t aEntry) -> void;
+  /// The entry ends after a shutdown, for which mStatus.mIsLeaving was set.
+  auto End(std::size_t aEntry) -> void;
   auto Start(std::size_t aEntry) -> void;
   auto Freeze(std::size_t aEntry, duration aTime) -> void;
 
@@ -90,6 +96,8 @@
     digest_message mMessage;
   };
 
+  /// Sends the messages that are due. Precondition: the entry is up.
+  auto SendDigests(std::size_t aEntry) -> void;
   auto Tick(std::size_t aEntry, std::uint64_t aRun) -> void;
   auto Deliver(const delivery& aDelivery) -> void;
   auto Send(std::size_t aFrom,
--- a/packages/dispatch/tests/fleet_rate_limiter_test.cpp
+++ b/packages/dispatch/tests/fleet_rate_limiter_test.cpp
@@ -180,7 +180,7 @@
   CHECK(limiter.Level("lamps", partitionStart + 4s) > before + 500);
 }
 
-TEST_CASE("a peer that shut down is not charged", "[fleet_rate_limiter]")
+TEST_CASE("a peer that has ended is not charged", "[fleet_rate_limiter]")
 {
   auto limiter = Limiter();
   auto now = kStart;
@@ -188,7 +188,7 @@
     now += 40ms;
     limiter.OnPeerUsage(Report(1, step * 20.0), now);
   }
-  limiter.OnPeerShutdown("peer");
+  limiter.OnPeerEnd("peer");
   const auto level = limiter.Level("lamps", now);
   const auto admitted = SpendAll(limiter, 10, now, now + 2s);
   CHECK(admitted >= level + 2 * kRate - 20);
--- a/packages/gateway/src/entry_gateway.cpp
+++ b/packages/gateway/src/entry_gateway.cpp
@@ -300,6 +300,7 @@
   }
   mShared.mLog.Write(
     log_priority::Notable, "stopped", { { "connections_cut", mSessions.size() } }, now);
+  mPeerChannel.AnnounceEnd();
   mShared.mContext.stop();
 }
 
--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -23,15 +23,17 @@
 
 auto exchange::LogDispatch(const dispatch_decision& aDecision) -> void
 {
-  mState.mLog.Write(log_priority::Routine,
-                    "dispatched",
-                    { { "request", mMetadata.mId },
-                      { "endpoint", aDecision.mEndpoint->mId },
-                      { "expected_us", Micros(aDecision.mExpected) },
-                      { "allowed_us", Micros(aDecision.mAllowed) },
-                      { "waiting", aDecision.mWaiting },
-                      { "send", mSends + 1 } },
-                    ReadBootClock());
+  auto line = boost::json::object{ { "request", mMetadata.mId },
+                                   { "endpoint", aDecision.mEndpoint->mId },
+                                   { "expected_us", Micros(aDecision.mExpected) },
+                                   { "allowed_us", Micros(aDecision.mAllowed) },
+                                   { "waiting", aDecision.mWaiting },
+                                   { "send", mSends + 1 } };
+  if (mSpentUnits > 0) {
+    line["organisation"] = mOrganisation->mName;
+    line["units"] = mSpentUnits;
+  }
+  mState.mLog.Write(log_priority::Routine, "dispatched", std::move(line), ReadBootClock());
 }
 
 auto exchange::LogFailedAttempt(const attempt& aAttempt, execution_outcome aOutcome) -> void
--- a/packages/gateway/src/peer_channel.cpp
+++ b/packages/gateway/src/peer_channel.cpp
@@ -138,11 +138,17 @@
   SendDigests();
 }
 
-auto peer_channel::SendDigests() -> void
+auto peer_channel::AnnounceEnd() -> void
+{
+  SendDigests(true);
+}
+
+auto peer_channel::SendDigests(bool aHasEnded) -> void
 {
   const auto now = ReadBootClock();
   const auto status = digest_exchange::entry_status{
     mState.mShutdown.IsStopping(),
+    aHasEnded,
     mState.mRoutes ? mState.mItems.Position() : source_position(),
     mState.ConfigurationVersion(),
     mState.mItems.IsSourceStable(now),
--- a/packages/gateway/src/peer_channel.h
+++ b/packages/gateway/src/peer_channel.h
@@ -31,6 +31,9 @@
   auto Send() -> boost::asio::awaitable<void>;
   /// Sends a digest at once, which tells the peers that this entry is shutting down.
   auto AnnounceShutdown() -> void;
+  /// Sends the last digest, which tells the peers that this entry has ended. Precondition: no
+  /// request is admitted any more.
+  auto AnnounceEnd() -> void;
 
 private:
   /// Whether the seeds name other entries, but none was heard yet.
@@ -38,7 +41,7 @@
   /// Reads one datagram without waiting; false if there is none.
   [[nodiscard]] auto ReadDatagram() -> bool;
   auto OnReceived(const digest_exchange::received& aReceived, time_point aNow) -> void;
-  auto SendDigests() -> void;
+  auto SendDigests(bool aHasEnded = false) -> void;
   auto SendTo(const std::vector<std::string>& aTargets,
               digest_hop aHop,
               const std::vector<peer_digest>& aDigests) -> void;
--- a/packages/gateway/src/peer_codec.cpp
+++ b/packages/gateway/src/peer_codec.cpp
@@ -117,7 +117,8 @@
                                   aDigest.mConfigurationVersion,
                                   aDigest.mPosition.mHistory,
                                   aDigest.mZone,
-                                  aDigest.mWithheldWrites);
+                                  aDigest.mWithheldWrites,
+                                  aDigest.mHasEnded);
 }
 
 auto Read(const peer::Digest& aMessage) -> std::optional<peer_digest>
@@ -131,6 +132,7 @@
   digest.mIncarnation = aMessage.incarnation();
   digest.mSequence = aMessage.sequence();
   digest.mIsLeaving = aMessage.is_leaving();
+  digest.mHasEnded = aMessage.has_ended();
   digest.mPosition = { aMessage.history(), aMessage.revision() };
   digest.mIsSourceStable = aMessage.is_settled();
   digest.mIsFull = aMessage.is_full();
--- a/packages/gateway/tests/peer_channel_test.cpp
+++ b/packages/gateway/tests/peer_channel_test.cpp
@@ -28,6 +28,7 @@
     digest.mIncarnation = 1;
     digest.mSequence = ++mSequence;
     digest.mIsFull = true;
+    digest.mIsLeaving = mIsLeaving;
     digest.mOrganisationUsage = { { HashText("lamps"), aUnits } };
     for (const auto& datagram : EncodeDigests(digest_hop::Direct, std::span(&digest, 1))) {
       mSocket.send_to(boost::asio::buffer(datagram), mTarget);
@@ -37,6 +38,7 @@
   udp::socket mSocket;
   udp::endpoint mTarget;
   std::uint64_t mSequence = 0;
+  bool mIsLeaving = false;
 };
 
 } // namespace
@@ -70,3 +72,28 @@
     CHECK(answer->mStatus == 429);
   });
 }
+
+// Nobody charged what an entry admitted between its stop request and its end.
+TEST_CASE("what a peer admits while it shuts down counts against the limit", "[peer_channel]")
+{
+  auto fixture = gateway_fixture();
+  auto endpoint = scripted_endpoint(fixture.Context(), "e1", CompleteAnswer);
+  auto document = TestDocument();
+  document.mOrganisations[0].mRate = 1;
+  document.mOrganisations[0].mBurst = 1;
+  document.mOrganisations[0].mCountsTokens = true;
+  fixture.Publish(std::move(document), { endpoint.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto peer = reporting_peer{ udp::socket(fixture.Context(), udp::v4()), fixture.PeerAddress() };
+    peer.Report(1);
+    co_await Pause(50ms);
+    peer.mIsLeaving = true;
+    peer.Report(1);
+    peer.Report(1000);
+    co_await Pause(50ms);
+    auto request = RequestText("/once/x", "Tokens: 1,1\r\nDeadline-Ms: 3000\r\n");
+    const auto answer = co_await fixture.Ask(std::move(request));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 429);
+  });
+}
