Reject answers whose status is not valid

Callers: an endpoint in trouble sent an answer with the status 000, and the caller got its body as an answer. A status of 600 or more was forwarded.

Cause: Beast's parser takes any three digits for a status, and endpoint_call passed over each head below 200 as interim. An interim response has no body, so the body of that answer was read as the next head. 101 was passed over in the same way.

Change: CheckHead in the new package http says whether a head that the parser has accepted is valid. A status that is not from 100 to 599, or 101, is a read error of the attempt like a head that cannot be parsed. Why it works: only heads with a valid 1xx are passed over, and those have no body.

That bytes behind a broken answer do not reach the next request has its test as well.

--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -4,6 +4,7 @@
 #include "with_timeout.h"
 
 #include <bronzering/base/boot_clock.h>
+#include <bronzering/http.h>
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -104,11 +105,11 @@
     mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
     mParser->skip(aRequest.method() == http::verb::head);
     auto [error, read] = co_await http::async_read_header(*mSocket, mInput, *mParser, kUseTuple);
-    if (error) {
-      mReadError = error;
+    mReadError = error ? error : CheckHead(mParser->get().base());
+    if (mReadError) {
       co_return false;
     }
-    if (Status() < 200) {
+    if (IsInterim(mParser->get().base())) {
       continue;
     }
     if (Fields()[mRequestId] == expected) {
--- /dev/null
+++ b/packages/gateway/tests/broken_answer_test.cpp
@@ -0,0 +1,114 @@
+// Guards against answers of endpoints in trouble that reach callers although they are not valid
+// HTTP, and against valid answers that are refused.
+
+#include "gateway_harness.h"
+
+#include <catch2/catch.hpp>
+
+#include <spdlog/fmt/fmt.h>
+
+using namespace bronzering;
+using namespace std::chrono_literals;
+using ending = scripted_endpoint::ending;
+using reaction = scripted_endpoint::reaction;
+using boost::asio::awaitable;
+
+namespace {
+
+struct served
+{
+  std::optional<test_caller::answer> mAnswer;
+  /// Number of requests that reached the endpoints.
+  std::size_t mRequests = 0;
+};
+
+/// A whole answer that suits the route of the request.
+auto WholeAnswer(const http_request& aRequest) -> reaction
+{
+  const auto isStream = aRequest.target() == "/stream/x" || aRequest.target() == "/resume/x";
+  return isStream ? reaction{ Events(aRequest, 1, 1) + "0\r\n\r\n" } : CompleteAnswer(aRequest);
+}
+
+/// Serves a request whose first answer is aText. The connection stays open after it, as that of an
+/// endpoint that does not notice its mistake. Further answers are whole.
+auto ServeAfter(const std::string& aText, const std::string& aPath) -> served
+{
+  auto fixture = gateway_fixture();
+  auto result = served();
+  const auto script = [&](const http_request& aRequest) -> reaction {
+    return ++result.mRequests == 1 ? reaction{ aText } : WholeAnswer(aRequest);
+  };
+  auto first = scripted_endpoint(fixture.Context(), "e1", script);
+  auto second = scripted_endpoint(fixture.Context(), "e2", script);
+  fixture.Publish(TestDocument(), { first.Listed(), second.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto request = RequestText(aPath);
+    result.mAnswer = co_await fixture.Ask(std::move(request));
+  });
+  return result;
+}
+
+/// Checks that a broken answer is a failure of its endpoint: the request is sent again only where
+/// its route allows that, and the caller is not told that it has not run.
+auto CheckIsFailure(const std::string& aText) -> void
+{
+  INFO(aText);
+  for (const auto* path : { "/once/x", "/stream/x" }) {
+    INFO(path);
+    const auto result = ServeAfter(aText, path);
+    REQUIRE(result.mAnswer);
+    CHECK(result.mAnswer->mStatus == 502);
+    CHECK(result.mAnswer->mBody.find(R"("not_run":"unknown")") != std::string::npos);
+    CHECK(result.mRequests == 1);
+  }
+  for (const auto* path : { "/again/x", "/resume/x" }) {
+    INFO(path);
+    const auto result = ServeAfter(aText, path);
+    REQUIRE(result.mAnswer);
+    CHECK(result.mAnswer->mStatus == 200);
+    CHECK((result.mAnswer->mBody == "whole" || result.mAnswer->mBody == "id: 1\ndata: e1\n\n"));
+    CHECK(result.mRequests == 2);
+  }
+}
+
+} // namespace
+
+TEST_CASE("an answer whose status is not final is a failure of its endpoint", "[broken_answer]")
+{
+  const auto* status =
+    GENERATE("000", "001", "099", "101", "600", "999", "20", "2000", "0200", "2x0", "-20", "");
+  const auto body = std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n"
+                                "Content-Length: 8\r\n\r\nsmuggled");
+  CheckIsFailure(fmt::format("HTTP/1.1 {} OK\r\nRequest-Id: r1\r\nSeal: s\r\n"
+                             "Content-Length: {}\r\n\r\n{}",
+                             status,
+                             body.size(),
+                             body));
+}
+
+TEST_CASE("no byte behind a broken answer reaches the next request", "[broken_answer]")
+{
+  const auto* head = GENERATE("HTTP/1.1 000 OK\r\nRequest-Id: r1\r\nSeal: s\r\n",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\nX Y: v\r\n",
+                              "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\nX: v\r\n w\r\n");
+  auto fixture = gateway_fixture();
+  auto requests = 0;
+  auto endpoint =
+    scripted_endpoint(fixture.Context(), "e1", [&](const http_request& aRequest) -> reaction {
+      auto next = aRequest;
+      next.set("Request-Id", "r2");
+      return ++requests == 1 ? reaction{ head + std::string("Content-Length: 0\r\n\r\n") +
+                                         SealedAnswer(next, "stale") }
+                             : CompleteAnswer(aRequest);
+    });
+  fixture.Publish(TestDocument(), { endpoint.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto first = RequestText("/once/x", {}, "r1");
+    co_await fixture.Ask(std::move(first));
+    auto second = RequestText("/once/x", {}, "r2");
+    const auto answer = co_await fixture.Ask(std::move(second));
+    REQUIRE(answer);
+    CHECK(answer->mStatus == 200);
+    CHECK(answer->mBody == "whole");
+  });
+}
--- /dev/null
+++ b/packages/http/include/bronzering/http.h
@@ -0,0 +1,3 @@
+#pragma once
+
+#include <bronzering/http/response_head.h>
