Reject answers with folded fields

Callers: a line of an answer's head that begins with a blank was appended to the value of the field before it and forwarded. Where it names a length, a reader that does not join the lines sees another body.

Cause: Beast's parser unfolds fields and does not report it. It does reject blanks and control bytes elsewhere in a name, and NUL, bare CR and bare LF in a value.

Change: AsyncReadHead in the package http reads a head, and looks for folds in the bytes that the parser has taken before they are dropped. It also checks the status, so that every reader that uses it has both. Why it works: the parser takes a field and its continuation lines at once, so a fold is always within the bytes of one call.

--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -104,9 +104,9 @@
     mParser->header_limit(kMaxHeaderBytes);
     mParser->body_limit(std::numeric_limits<std::uint64_t>::max());
     mParser->skip(aRequest.method() == http::verb::head);
-    auto [error, read] = co_await http::async_read_header(*mSocket, mInput, *mParser, kUseTuple);
-    mReadError = error ? error : CheckHead(mParser->get().base());
-    if (mReadError) {
+    auto [error] = co_await AsyncReadHead(*mSocket, mInput, *mParser, kUseTuple);
+    if (error) {
+      mReadError = error;
       co_return false;
     }
     if (IsInterim(mParser->get().base())) {
--- a/packages/gateway/tests/broken_answer_test.cpp
+++ b/packages/gateway/tests/broken_answer_test.cpp
@@ -86,6 +86,40 @@
                              body));
 }
 
+TEST_CASE("an answer with a malformed field is a failure of its endpoint", "[broken_answer]")
+{
+  const auto* fields = GENERATE("X Y: v",
+                                "X : v",
+                                "X\t: v",
+                                " X: v",
+                                "X\x01Y: v",
+                                "X\x7f: v",
+                                "\xe9X: v",
+                                ": v",
+                                "X",
+                                "X: v\r\n Content-Length: 2",
+                                "X: v\r\n\tY: w",
+                                "X:\r\n v",
+                                "Content-Length: 2\r\n ",
+                                "X: a\rb",
+                                "X: a\nY: b",
+                                "X: a\x01",
+                                "Content-Length : 2",
+                                "Transfer-Encoding : chunked");
+  CheckIsFailure(fmt::format("HTTP/1.1 200 OK\r\n{}\r\nRequest-Id: r1\r\nSeal: s\r\n"
+                             "Content-Length: 2\r\n\r\nok",
+                             fields));
+}
+
+TEST_CASE("an answer with a NUL in its head is a failure of its endpoint", "[broken_answer]")
+{
+  const auto nul = std::string(1, '\0');
+  const auto fields =
+    GENERATE_COPY("X" + nul + ": v", "X: v" + nul, nul, "X: v\r\n" + nul + " Y: w");
+  CheckIsFailure("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n" + fields +
+                 "\r\nContent-Length: 2\r\n\r\nok");
+}
+
 TEST_CASE("no byte behind a broken answer reaches the next request", "[broken_answer]")
 {
   const auto* head = GENERATE("HTTP/1.1 000 OK\r\nRequest-Id: r1\r\nSeal: s\r\n",
@@ -112,3 +146,36 @@
     CHECK(answer->mBody == "whole");
   });
 }
+
+TEST_CASE("an unusual but valid answer is forwarded", "[broken_answer]")
+{
+  const auto check = [](const std::string& aStart, const std::string& aFields, unsigned aStatus) {
+    INFO(aStart << aFields);
+    const auto result = ServeAfter(aStart + "\r\nRequest-Id: r1\r\nSeal: s\r\n" + aFields +
+                                     "Content-Length: 5\r\n\r\nwhole",
+                                   "/once/x");
+    REQUIRE(result.mAnswer);
+    CHECK(result.mAnswer->mStatus == aStatus);
+    CHECK(result.mAnswer->mBody == "whole");
+    return *result.mAnswer;
+  };
+  check("HTTP/1.1 299 Fine", "", 299);
+  check("HTTP/1.1 418 Teapot", "", 418);
+  check("HTTP/1.1 599 Odd", "", 599);
+  check("HTTP/1.1 200 ", "", 200);
+  check("HTTP/1.1 200 \xc3\xa9t\xc3\xa9", "", 200);
+  check("HTTP/1.0 200 OK", "", 200);
+  check("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK", "", 200);
+  check("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK", "", 200);
+  CHECK(check("HTTP/1.1 200 OK", "X:\r\n", 200).mFields["X"].empty());
+  CHECK(check("HTTP/1.1 200 OK", "X: \xe9t\xe9\r\n", 200).mFields["X"] == "\xe9t\xe9");
+  CHECK(
+    check("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~9z: v\r\n", 200).mFields.count("!#$%&'*+-.^_`|~9z") ==
+    1);
+  check("HTTP/1.1 200 OK", "Content-Length: 5\r\n", 200);
+  auto many = std::string();
+  for (auto field = 0; field < 200; ++field) {
+    many += fmt::format("X-{}: {}\r\n", field, field);
+  }
+  CHECK(check("HTTP/1.1 200 OK", many, 200).mFields["X-199"] == "199");
+}
--- a/packages/http/include/bronzering/http.h
+++ b/packages/http/include/bronzering/http.h
@@ -1,3 +1,4 @@
 #pragma once
 
+#include <bronzering/http/read_head.h>
 #include <bronzering/http/response_head.h>
