Reject answers whose fields contradict each other about the body

Callers: an answer with the transfer codings gzip and chunked was forwarded without the coding, so its body was not that of the endpoint. Behind an interim response that announced a body, that body was read as the answer.

Cause: of transfer codings Beast's parser only looks at whether the last one is chunked, in HTTP/1.0 as well. It gives 1xx and 204 no body whatever their fields say.

Change: CheckHead allows Transfer-Encoding only as a single "chunked", in HTTP/1.1 and without a length, and no announced body with 1xx and 204. Why it works: what remains has one reading.

Differing, malformed and repeated lengths, and a length beside chunks, were rejected before and are tested now.

--- a/packages/gateway/tests/broken_answer_test.cpp
+++ b/packages/gateway/tests/broken_answer_test.cpp
@@ -120,6 +120,53 @@
                  "\r\nContent-Length: 2\r\n\r\nok");
 }
 
+TEST_CASE("an answer whose length is ambiguous is a failure of its endpoint", "[broken_answer]")
+{
+  const auto* fields = GENERATE("Content-Length: 2\r\nContent-Length: 1",
+                                "Content-Length: 2, 1",
+                                "Content-Length: -2",
+                                "Content-Length: +2",
+                                "Content-Length: 0x2",
+                                "Content-Length: 2 2",
+                                "Content-Length:",
+                                "Content-Length: 99999999999999999999",
+                                "Transfer-Encoding: chunked\r\nContent-Length: 2",
+                                "Content-Length: 2\r\nTransfer-Encoding: chunked",
+                                "Transfer-Encoding: gzip\r\nContent-Length: 2",
+                                "Transfer-Encoding: identity\r\nContent-Length: 2",
+                                "Transfer-Encoding:\r\nContent-Length: 2",
+                                "Transfer-Encoding: gzip, chunked",
+                                "Transfer-Encoding: chunked, gzip",
+                                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked");
+  const auto isChunked = std::string_view(fields).find("chunked") != std::string_view::npos;
+  CheckIsFailure(fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n{}\r\n\r\n{}",
+                             fields,
+                             isChunked ? "14\r\nid: 1\ndata: forged\n\n\r\n0\r\n\r\n" : "ok"));
+}
+
+TEST_CASE(
+  "a response that announces a body which its status rules out is a failure of its endpoint",
+  "[broken_answer]")
+{
+  const auto* head = GENERATE("100 Continue\r\nContent-Length: 71",
+                              "103 Early Hints\r\nContent-Length: 71",
+                              "103 Early Hints\r\nTransfer-Encoding: chunked",
+                              "204 No Content\r\nContent-Length: 71",
+                              "204 No Content\r\nTransfer-Encoding: chunked");
+  CheckIsFailure(fmt::format("HTTP/1.1 {}\r\nRequest-Id: r1\r\nSeal: s\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n"
+                             "Content-Length: 8\r\n\r\nsmuggled",
+                             head));
+}
+
+TEST_CASE("an answer of HTTP/1.0 in chunks is a failure of its endpoint", "[broken_answer]")
+{
+  CheckIsFailure(
+    "HTTP/1.0 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "2\r\nok\r\n0\r\n\r\n");
+}
+
 TEST_CASE("no byte behind a broken answer reaches the next request", "[broken_answer]")
 {
   const auto* head = GENERATE("HTTP/1.1 000 OK\r\nRequest-Id: r1\r\nSeal: s\r\n",
--- a/packages/http/include/bronzering/http/response_head.h
+++ b/packages/http/include/bronzering/http/response_head.h
@@ -12,7 +12,8 @@
 [[nodiscard]] auto IsInterim(const response_head& aHead) -> bool;
 
 /// Checks a head that the parser of Boost.Beast has accepted. The parser takes any three digits for
-/// a status. Returns no error if the response is valid. Thread-safe.
+/// a status, and ignores fields that contradict the length it has found. Returns no error if the
+/// head is valid and the end of the body unambiguous. Thread-safe.
 [[nodiscard]] auto CheckHead(const response_head& aHead) -> boost::system::error_code;
 
 } // namespace bronzering
