Reject answers without a length whose request could not be written

Callers: an endpoint answered a long upload at once with a 200 without a length, sent part of the body and reset the connection. The caller got that part as a complete answer, on plain and on streamed routes.

Cause: the reset fails the write of the request. The operating system reports it once, so the read sees the end of the connection like that of a complete answer. endpoint_call knew that the request was not written, and only kept the connection out of the pool.

Change: the end of the connection ends a response without a length only if the request was written in full; otherwise the attempt fails with "partial message". Why it works: if the write has not failed, a reset is still to be reported, and the read gets it.

--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -160,6 +160,12 @@
   if (!mSocket) {
     co_return std::nullopt;
   }
+  // A reset is reported to one operation only. If that was the write of the request, the end of the
+  // connection looks like that of a complete response.
+  if (EndsWithConnection() && !mIsRequestWritten) {
+    MarkIncomplete();
+    co_return std::nullopt;
+  }
   // The response is complete. The connection can be reused only if the request was also written
   // completely.
   if (mIsRequestWritten) {
