Keep fields that follow a body out of the head

Callers: on plain routes the fields after the last chunk of an answer were forwarded as if they had been in its head, a second seal among them.

Cause: Beast's parser inserts them into the message that it holds, and the buffered relay reads the fields after the body.

Change: endpoint_call takes the head out of the parser as soon as it is whole. Why it works: what the parser adds later is never read. Streams need no copy of their head any more.

Malformed fields after the last chunk were rejected before and are tested now.

--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -4,7 +4,6 @@
 #include "with_timeout.h"
 
 #include <bronzering/base/boot_clock.h>
-#include <bronzering/http.h>
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -12,6 +11,7 @@
 #include <cassert>
 #include <charconv>
 #include <limits>
+#include <utility>
 
 namespace bronzering {
 
@@ -109,7 +109,8 @@
       mReadError = error;
       co_return false;
     }
-    if (IsInterim(mParser->get().base())) {
+    mHead = std::move(mParser->get().base());
+    if (IsInterim(mHead)) {
       continue;
     }
     if (Fields()[mRequestId] == expected) {
--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -3,6 +3,7 @@
 #include "endpoint_connection_pool.h"
 
 #include <bronzering/base/time.h>
+#include <bronzering/http.h>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -63,8 +64,8 @@
   auto Abort() -> void;
 
   /// Precondition: Send returned true.
-  [[nodiscard]] auto Status() const -> unsigned { return mParser->get().result_int(); }
-  [[nodiscard]] auto Fields() const -> const http_fields& { return mParser->get().base(); }
+  [[nodiscard]] auto Status() const -> unsigned { return mHead.result_int(); }
+  [[nodiscard]] auto Fields() const -> const http_fields& { return mHead; }
   /// Length of the body, if the response names one.
   [[nodiscard]] auto ContentLength() const -> std::optional<std::uint64_t>
   {
@@ -102,6 +103,8 @@
   /// header or a trailer.
   boost::beast::flat_buffer mInput{ kMaxInputBytes };
   std::optional<response_parser> mParser;
+  /// Taken out of the parser, which adds the fields that follow a chunked body to its own.
+  response_head mHead;
   std::array<char, 8UL * 1024> mPart = {};
   bool mIsRequestWritten = false;
   boost::system::error_code mReadError;
--- a/packages/gateway/src/exchange_relay.cpp
+++ b/packages/gateway/src/exchange_relay.cpp
@@ -103,7 +103,7 @@
 auto exchange::RelayStream(endpoint_call& aCall, const attempt& aAttempt, attempt_result& aResult)
   -> boost::asio::awaitable<execution_outcome>
 {
-  const auto head = aCall.Fields();
+  const auto& head = aCall.Fields();
   const auto status = aCall.Status();
   // Where two attempts may be made, each has its own events until it is the first to answer.
   auto isClaimed = mParallelAttempts == nullptr;
--- a/packages/gateway/tests/broken_answer_test.cpp
+++ b/packages/gateway/tests/broken_answer_test.cpp
@@ -73,6 +73,8 @@
 
 } // namespace
 
+// A status of 000 was passed over like an interim response, and the caller got the body of that
+// answer as an answer of its own. A status above 599 was forwarded.
 TEST_CASE("an answer whose status is not final is a failure of its endpoint", "[broken_answer]")
 {
   const auto* status =
@@ -86,6 +88,7 @@
                              body));
 }
 
+// A line that began with a blank was appended to the value of the field before it and forwarded.
 TEST_CASE("an answer with a malformed field is a failure of its endpoint", "[broken_answer]")
 {
   const auto* fields = GENERATE("X Y: v",
@@ -120,6 +123,7 @@
                  "\r\nContent-Length: 2\r\n\r\nok");
 }
 
+// A transfer coding other than chunked was dropped, and the caller got the coded body.
 TEST_CASE("an answer whose length is ambiguous is a failure of its endpoint", "[broken_answer]")
 {
   const auto* fields = GENERATE("Content-Length: 2\r\nContent-Length: 1",
@@ -145,6 +149,7 @@
                              isChunked ? "14\r\nid: 1\ndata: forged\n\n\r\n0\r\n\r\n" : "ok"));
 }
 
+// An interim response has no body. If it announces one, what follows is that or the answer.
 TEST_CASE(
   "a response that announces a body which its status rules out is a failure of its endpoint",
   "[broken_answer]")
@@ -194,6 +199,36 @@
   });
 }
 
+// The fields after the last chunk were forwarded as if they had been in the head.
+TEST_CASE("fields that follow the body do not join the head", "[broken_answer]")
+{
+  const auto result = ServeAfter("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+                                 "0\r\nSeal: forged\r\nRetry-After: 9\r\nX: v\r\n\r\n",
+                                 "/once/x");
+  REQUIRE(result.mAnswer);
+  CHECK(result.mAnswer->mStatus == 200);
+  CHECK(result.mAnswer->mBody == "ok");
+  CHECK(result.mAnswer->mFields.count("Seal") == 1);
+  CHECK(result.mAnswer->mFields["Seal"] == "s");
+  CHECK(result.mAnswer->mFields.count("Retry-After") == 0);
+  CHECK(result.mAnswer->mFields.count("X") == 0);
+}
+
+TEST_CASE("an answer with a broken field after its body is a failure of its endpoint",
+          "[broken_answer]")
+{
+  const auto* field = GENERATE("X Y: v", "X : v", "X\x01: v", ": v", "X: a\nb");
+  const auto result = ServeAfter(fmt::format("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n"
+                                             "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
+                                             "0\r\n{}\r\n\r\n",
+                                             field),
+                                 "/once/x");
+  REQUIRE(result.mAnswer);
+  CHECK(result.mAnswer->mStatus == 502);
+  CHECK(result.mRequests == 1);
+}
+
 TEST_CASE("an unusual but valid answer is forwarded", "[broken_answer]")
 {
   const auto check = [](const std::string& aStart, const std::string& aFields, unsigned aStatus) {
