Name what is broken about an answer in logs and metrics

Callers' failures could be traced to an attempt, but not to a cause: read_error holds the text of a library, and no metric told answers that are not valid HTTP from connections that broke.

Change: FaultOf in the package http sorts the errors of reading a response into six kinds. The line attempt_failed has the kind as broken_answer beside the request's id, and bronzering_broken_answers_total counts it by service. Nothing that the endpoint sent is logged.

Measured: a case of request_log_test with ten broken answers: one line, one count and no text of the answer in the log for each.

--- a/packages/gateway/src/exchange_log.cpp
+++ b/packages/gateway/src/exchange_log.cpp
@@ -50,6 +50,14 @@
   if (aAttempt.mReadError) {
     line["read_error"] = aAttempt.mReadError.message();
   }
+  if (const auto fault = FaultOf(aAttempt.mReadError)) {
+    const auto name = kResponseFaultNames.NameOf(*fault);
+    line["broken_answer"] = name;
+    mState.mMetrics
+      .Counter("bronzering_broken_answers_total",
+               fmt::format("service=\"{}\",fault=\"{}\"", mService, name))
+      .Add();
+  }
   mState.mLog.Write(log_priority::Notable, "attempt_failed", std::move(line), now);
   mState.mMetrics
     .Counter("bronzering_attempt_failures_total",
--- a/packages/gateway/tests/request_log_test.cpp
+++ b/packages/gateway/tests/request_log_test.cpp
@@ -178,6 +178,56 @@
   }
 }
 
+// A log that only says that an attempt failed does not show whether the endpoint or the network
+// did.
+TEST_CASE("a broken answer is logged and counted with what was wrong with it", "[request_log]")
+{
+  struct broken_answer
+  {
+    std::string mText;
+    std::string mFault;
+  };
+  const auto head = std::string("HTTP/1.1 200 OK\r\nRequest-Id: 0\r\nSeal: s\r\n");
+  const auto broken =
+    GENERATE_COPY(broken_answer{ "SECRET / HTTP/1.1\r\n\r\n", "not_http" },
+                  broken_answer{ "HTTP/1.1 000 SECRET\r\n\r\n", "status" },
+                  broken_answer{ "HTTP/1.1 2x0 SECRET\r\n\r\n", "status" },
+                  broken_answer{ head + "SECRET X: v\r\n\r\n", "field" },
+                  broken_answer{ head + "X: v\r\n SECRET\r\n\r\n", "field" },
+                  broken_answer{ head + "X: SECRET\x01\xff\r\n\r\n", "field" },
+                  broken_answer{ head + "Transfer-Encoding: SECRET\r\n\r\n", "framing" },
+                  broken_answer{ head + "Transfer-Encoding: chunked\r\n\r\nSECRET\r\n", "framing" },
+                  broken_answer{ head + "X: SECRET" + std::string(40'000, 'x'), "size" },
+                  broken_answer{ head + "Content-Length: 9\r\n\r\nSECRET", "incomplete" });
+  INFO(broken.mFault);
+  auto count = std::uint64_t{ 0 };
+  const auto log = LogOf(
+    TestDocument(),
+    [&](const http_request&) -> reaction {
+      return { broken.mText, ending::Close };
+    },
+    [&](gateway_fixture& aFixture, scripted_endpoint&) -> awaitable<void> {
+      auto paths = std::vector<std::string>{ "/once/x" };
+      co_await AskAll(aFixture, std::move(paths), "");
+      count = aFixture.Metrics()
+                .Counter("bronzering_broken_answers_total",
+                         "service=\"engines\",fault=\"" + broken.mFault + "\"")
+                .Value();
+    });
+  CHECK(count == 1);
+  CHECK(log.find("SECRET") == std::string::npos);
+  auto faults = std::vector<std::string>();
+  auto lines = std::istringstream(log);
+  for (auto text = std::string(); std::getline(lines, text);) {
+    const auto line = boost::json::parse(text).as_object();
+    if (line.at("event") == "attempt_failed") {
+      CHECK(line.at("request") == "0");
+      faults.emplace_back(line.at("broken_answer").as_string());
+    }
+  }
+  CHECK(faults == std::vector<std::string>{ broken.mFault });
+}
+
 TEST_CASE("a request that exceeds its route's timeout has exactly one final log line",
           "[request_log]")
 {
