Read answers of the store and of peers with the common reader

An interim response of the store was taken for its answer, and the answer for that to the next request on the connection. Statuses of 000, 101 and 600, folded fields and ambiguous lengths were accepted, and a field after the body, such as the number of the store's history, counted as one of the head. Callers would have been served by an older or foreign state of the published items.

Cause: http_get_client read each answer with Beast alone, whose parser accepts these.

Change: it uses AsyncReadHead, passes over interim responses, and takes the fields when the head is whole.

--- a/packages/gateway/src/http_get.cpp
+++ b/packages/gateway/src/http_get.cpp
@@ -3,12 +3,16 @@
 #include "socket_options.h"
 #include "with_timeout.h"
 
+#include <bronzering/http.h>
+
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <utility>
+
 namespace bronzering {
 
 namespace http = boost::beast::http;
@@ -54,20 +58,26 @@
   if (writeError) {
     co_return std::nullopt;
   }
-  auto parser = http::response_parser<http::string_body>();
-  parser.body_limit(mMaxBodyBytes);
-  auto [readError, read] = co_await http::async_read(mSocket, mBuffer, parser, kUseTuple);
+  auto parser = std::optional<http::response_parser<http::string_body>>();
+  do {
+    parser.emplace();
+    parser->body_limit(mMaxBodyBytes);
+    auto [headError] = co_await AsyncReadHead(mSocket, mBuffer, *parser, kUseTuple);
+    if (headError) {
+      co_return std::nullopt;
+    }
+  } while (IsInterim(parser->get().base()));
+  // The parser adds the fields that follow a chunked body to its own.
+  auto head = std::move(parser->get().base());
+  auto [readError, read] = co_await http::async_read(mSocket, mBuffer, *parser, kUseTuple);
   if (readError) {
     co_return std::nullopt;
   }
-  if (!parser.keep_alive()) {
+  if (!parser->keep_alive()) {
     auto ignored = boost::system::error_code();
     mSocket.close(ignored);
   }
-  auto response = parser.release();
-  co_return http_answer{ response.result_int(),
-                         std::move(response.body()),
-                         std::move(response.base()) };
+  co_return http_answer{ head.result_int(), std::move(parser->get().body()), std::move(head) };
 }
 
 auto http_get_client::Connect() -> boost::asio::awaitable<bool>
