Close connections to the store that have bytes behind an answer

An answer that the store, or a peer, sent without being asked was taken for that to the next request: an old page of items, or the changes since another revision.

Cause: http_get_client keeps what it has read beyond an answer for the next one.

Change: a connection with bytes behind an answer is closed, as those of endpoints are. Why it works: such bytes belong to no request.

--- a/packages/gateway/src/http_get.cpp
+++ b/packages/gateway/src/http_get.cpp
@@ -73,7 +73,8 @@
   if (readError) {
     co_return std::nullopt;
   }
-  if (!parser->keep_alive()) {
+  // Bytes behind the answer would be taken for that to the next request.
+  if (!parser->keep_alive() || mBuffer.size() > 0) {
     auto ignored = boost::system::error_code();
     mSocket.close(ignored);
   }
--- a/packages/gateway/tests/http_get_test.cpp
+++ b/packages/gateway/tests/http_get_test.cpp
@@ -80,6 +80,16 @@
   CHECK(answers.mSecond->mBody == "second");
 }
 
+// Bytes behind an answer were taken for that to the next request.
+TEST_CASE("a surplus answer to a GET is not that to the next one", "[http_get]")
+{
+  const auto answers = GetTwice(Answer("first") + Answer("surplus"));
+  REQUIRE(answers.mFirst);
+  CHECK(answers.mFirst->mBody == "first");
+  REQUIRE(answers.mSecond);
+  CHECK(answers.mSecond->mBody == "second");
+}
+
 // A field after the body, such as the number of a history, counted as one of the head.
 TEST_CASE("the fields of an answer to a GET are those of its head", "[http_get]")
 {
