Read answers of engines with the common reader

Behind an agent, an answer of an engine with the status 000, 099 or 600 was passed on with that status. Folded fields, codings other than chunked, and bodies announced with 101, 103 or 204 were accepted, so that a caller could get another body than the engine's.

Cause: http_call read heads with Beast alone, and took each 1xx, 101 among them, for interim.

Change: it uses AsyncReadHead and IsInterim. A head that they reject fails the call before anything of it is passed on.

--- a/packages/net/src/http_call.cpp
+++ b/packages/net/src/http_call.cpp
@@ -2,6 +2,8 @@
 
 #include "http_text.h"
 
+#include <bronzering/http.h>
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -152,26 +154,23 @@
   mParser->header_limit(static_cast<std::uint32_t>(mLimits.mMaxHeaderBytes));
   mParser->body_limit(boost::none);
   mParser->skip(aIsHeadRequest);
-  http::async_read_header(mSocket,
-                          mInputBuffer,
-                          *mParser,
-                          [self = shared_from_this()](const error_code& aError, std::size_t) {
-                            if (self->mIsFinished) {
-                              return;
-                            }
-                            if (aError) {
-                              self->Fail("reading the response failed: " + aError.message());
-                            } else {
-                              self->OnHead();
-                            }
-                          });
+  AsyncReadHead(
+    mSocket, mInputBuffer, *mParser, [self = shared_from_this()](const error_code& aError) {
+      if (self->mIsFinished) {
+        return;
+      }
+      if (aError) {
+        self->Fail("reading the response failed: " + aError.message());
+      } else {
+        self->OnHead();
+      }
+    });
 }
 
 auto http_call::OnHead() -> void
 {
-  // Skip interim (1xx) responses.
   const auto& head = mParser->get();
-  if (head.result_int() / 100 == 1) {
+  if (IsInterim(head)) {
     ReadHead(mIsHeadRequest);
     return;
   }
--- a/packages/net/tests/http_call_test.cpp
+++ b/packages/net/tests/http_call_test.cpp
@@ -77,3 +77,42 @@
     CHECK_FALSE(record.mFailure.empty());
   }
 }
+
+// A status of 000 was passed on to the caller, and a folded field as one with a longer value.
+TEST_CASE("a response that is not valid HTTP fails the call before its head is passed on")
+{
+  const auto* head = GENERATE("HTTP/1.1 000 OK\r\n",
+                              "HTTP/1.1 099 OK\r\n",
+                              "HTTP/1.1 101 Switching\r\n",
+                              "HTTP/1.1 600 Odd\r\n",
+                              "HTTP/1.1 2000 OK\r\n",
+                              "HTTP/1.1 200 OK\r\nX Y: v\r\n",
+                              "HTTP/1.1 200 OK\r\nX : v\r\n",
+                              "HTTP/1.1 200 OK\r\nX\x01: v\r\n",
+                              "HTTP/1.1 200 OK\r\n X: v\r\n",
+                              "HTTP/1.1 200 OK\r\nX: v\r\n w\r\n",
+                              "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n",
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+                              "HTTP/1.1 103 Early Hints\r\n",
+                              "HTTP/1.1 204 No Content\r\n");
+  INFO(head);
+  const auto body = std::string("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nsmuggled");
+  const auto record =
+    CallFixedAnswer(head + ("Content-Length: " + std::to_string(body.size())) + "\r\n\r\n" + body);
+  CHECK(record.mStatus == 0);
+  CHECK(record.mBody.empty());
+  CHECK_FALSE(record.mIsWhole);
+  CHECK_FALSE(record.mFailure.empty());
+}
+
+TEST_CASE("an unusual but valid response is passed on")
+{
+  for (const auto status : { 200, 299, 304, 418, 599 }) {
+    const auto record =
+      CallFixedAnswer("HTTP/1.1 " + std::to_string(status) + " \r\nX:\r\nY: \xe9\r\n" +
+                      (status == 304 ? "" : "Content-Length: 0\r\n") + "\r\n");
+    CHECK(record.mStatus == static_cast<std::uint32_t>(status));
+    CHECK(record.mIsWhole);
+  }
+}
