Escape bytes in log lines that are not UTF-8

With a byte over 127 the line was not valid JSON, and tools that read the log dropped it.

Cause: the JSON serializer escapes control characters only.

Change: event_log escapes the bytes over 127 of a line that is not valid UTF-8; lines of ASCII cost one pass over them. Of a malformed value 64 bytes are logged.

--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -40,6 +40,8 @@
 constexpr auto kConfigurationWait = duration(std::chrono::milliseconds(400));
 /// Time that a caller is taken to have left if it names none and its route is not known.
 constexpr auto kDefaultTimeLeft = duration(std::chrono::milliseconds(1'500));
+/// Maximum number of bytes of an endpoint's malformed value that are logged.
+constexpr auto kMaxLoggedValue = std::size_t{ 64 };
 /// Reasons in answers and logs.
 constexpr auto kStoppingReason = std::string_view("shutting down");
 constexpr auto kNoEndpointReason = std::string_view("no endpoint can answer in time");
@@ -405,10 +407,11 @@
   const auto& endpoint = aAttempt.mEndpoint;
   const auto seconds = ParseDecimal({ text.data(), text.size() });
   if (!seconds) {
-    mState.mLog.Write(log_priority::Notable,
-                      "requested_pause_malformed",
-                      { { "endpoint", endpoint.mId }, { "value", text } },
-                      now);
+    mState.mLog.Write(
+      log_priority::Notable,
+      "requested_pause_malformed",
+      { { "endpoint", endpoint.mId }, { "value", text.substr(0, kMaxLoggedValue) } },
+      now);
     return;
   }
   const auto pause = FromSeconds(std::min(*seconds, ToSeconds(endpoint_table::kMaxPause)));
@@ -428,10 +431,11 @@
   const auto text = aCall.Fields()[mState.mHeaderNames.mRateLimit];
   const auto limit = ParseDecimal({ text.data(), text.size() });
   if (!limit && !text.empty()) {
-    mState.mLog.Write(log_priority::Notable,
-                      "rate_limit_malformed",
-                      { { "endpoint", endpoint.mId }, { "value", text } },
-                      now);
+    mState.mLog.Write(
+      log_priority::Notable,
+      "rate_limit_malformed",
+      { { "endpoint", endpoint.mId }, { "value", text.substr(0, kMaxLoggedValue) } },
+      now);
     return;
   }
   const auto key = HashEndpointIncarnation(endpoint.mId, endpoint.mIncarnation);
--- a/packages/gateway/tests/request_log_test.cpp
+++ b/packages/gateway/tests/request_log_test.cpp
@@ -8,6 +8,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <spdlog/fmt/fmt.h>
+
 #include <map>
 #include <sstream>
 
@@ -228,6 +230,32 @@
   CHECK(faults == std::vector<std::string>{ broken.mFault });
 }
 
+// Such a value made the line invalid, and filled the log with as many bytes as a head may have.
+TEST_CASE("of a malformed value only the start is logged, in a valid line", "[request_log]")
+{
+  const auto* name = GENERATE("Rate-Limit", "Retry-After");
+  const auto value = "\xe9" + std::string(20'000, 'x');
+  const auto log = LogOf(
+    TestDocument(),
+    [&](const http_request&) -> reaction {
+      return { fmt::format(
+        "HTTP/1.1 503 Busy\r\nRequest-Id: 0\r\n{}: {}\r\nContent-Length: 0\r\n\r\n", name, value) };
+    },
+    [](gateway_fixture& aFixture, scripted_endpoint&) -> awaitable<void> {
+      auto paths = std::vector<std::string>{ "/once/x" };
+      co_await AskAll(aFixture, std::move(paths), "");
+    });
+  auto values = std::vector<std::string>();
+  auto lines = std::istringstream(log);
+  for (auto text = std::string(); std::getline(lines, text);) {
+    const auto line = boost::json::parse(text).as_object();
+    if (const auto* logged = line.if_contains("value")) {
+      values.emplace_back(logged->as_string());
+    }
+  }
+  CHECK(values == std::vector<std::string>{ "\xc3\xa9" + std::string(63, 'x') });
+}
+
 TEST_CASE("a request that exceeds its route's timeout has exactly one final log line",
           "[request_log]")
 {
--- a/packages/log/src/event_log.cpp
+++ b/packages/log/src/event_log.cpp
@@ -1,11 +1,14 @@
 #include <bronzering/log/event_log.h>
 
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <spdlog/async.h>
+#include <spdlog/fmt/fmt.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <future>
@@ -18,6 +21,34 @@
 /// Capacity of the queue between Write and the output; the oldest line is dropped when it is full.
 constexpr auto kQueueCapacity = std::size_t{ 4096 };
 
+auto IsAscii(char aByte) -> bool
+{
+  return static_cast<unsigned char>(aByte) < 0x80;
+}
+
+/// Values from other processes may have any bytes. Those of a line that is not valid UTF-8 are
+/// escaped as ISO 8859-1, so that readers of the log do not drop the line.
+auto WithValidText(std::string aLine) -> std::string
+{
+  if (std::all_of(aLine.begin(), aLine.end(), IsAscii)) {
+    return aLine;
+  }
+  auto error = boost::system::error_code();
+  boost::json::parse(aLine, error);
+  if (!error) {
+    return aLine;
+  }
+  auto escaped = std::string();
+  for (const auto byte : aLine) {
+    if (IsAscii(byte)) {
+      escaped += byte;
+    } else {
+      escaped += fmt::format("\\u{:04x}", static_cast<unsigned char>(byte));
+    }
+  }
+  return escaped;
+}
+
 } // namespace
 
 struct event_log::state
@@ -94,7 +125,7 @@
   for (auto& field : aFields) {
     line[field.key()] = std::move(field.value());
   }
-  mState->mLogger->info("{}", boost::json::serialize(line));
+  mState->mLogger->info("{}", WithValidText(boost::json::serialize(line)));
 }
 
 auto event_log::Close(std::chrono::milliseconds aTimeout) -> bool
--- a/packages/log/tests/event_log_test.cpp
+++ b/packages/log/tests/event_log_test.cpp
@@ -2,9 +2,13 @@
 
 #include <bronzering/log/event_log.h>
 
+#include <boost/json/parse.hpp>
+
 #include <catch2/catch.hpp>
 
+#include <sstream>
 #include <string>
+#include <vector>
 
 using namespace bronzering;
 using namespace std::chrono_literals;
@@ -87,3 +91,25 @@
   CHECK(CountOf(text, "\"event\":\"dispatched\"") == event_log::kRoutineLinesPerSecond);
   CHECK(CountOf(text, "\"process\":\"vm-1\",\"event\":\"refused\",\"request\":\"r1\"") == 1);
 }
+
+// A value of an endpoint's header made a line invalid, and tools that read the log dropped it.
+TEST_CASE("a line is valid JSON whatever bytes its values have", "[event_log]")
+{
+  auto metrics = metrics_registry();
+  auto output = captured_output();
+  auto log = std::make_unique<event_log>("vm-1", metrics);
+  const auto valid = std::string("caf\xc3\xa9");
+  for (const auto& value : { std::string("\xe9t\xe9 \x01\r\n\""), std::string("\xff\\u"), valid }) {
+    log->Write(log_priority::Notable, "seen", { { "value", value } }, kStart);
+  }
+  auto lines = std::istringstream(output.Drain([&log] { log.reset(); }));
+  auto values = std::vector<std::string>();
+  for (auto text = std::string(); std::getline(lines, text);) {
+    INFO(text);
+    auto error = boost::system::error_code();
+    const auto line = boost::json::parse(text, error);
+    REQUIRE_FALSE(error);
+    values.emplace_back(line.at("value").as_string());
+  }
+  CHECK(values == std::vector<std::string>{ "\xc3\xa9t\xc3\xa9 \x01\r\n\"", "\xc3\xbf\\u", valid });
+}
