Forward the refusal of an upload that the endpoint does not read

Callers: an endpoint refused a long request (413, 401) before it had read it, and neither read on nor closed the connection. The caller got 504 at its deadline instead of the answer, or the answer after 3.2 s. A request that was declined in this way was not sent to another endpoint.

Cause: endpoint_call read the body of an answer only after the write of the request had ended, which takes until the operating system gives up the connection.

Change: once a redirection or an error with a length is there as a whole, the write is stopped and the connection not used again. After a success the write goes on, since the endpoint may still use the rest. Why it works: such an answer is final, and nothing that the endpoint reads later can change it.

--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -23,6 +23,8 @@
 constexpr auto kUseTuple = boost::asio::as_tuple(boost::asio::use_awaitable);
 /// Maximum size of a response header.
 constexpr auto kMaxHeaderBytes = 32U * 1024;
+/// Redirections and errors, after which an endpoint need not read the rest of the request.
+constexpr auto kFirstRefusingStatus = 300U;
 /// Maximum number of responses that are skipped: interim (1xx) responses, and those that do not
 /// carry the id of this request, such as a late response to the connection's previous request.
 constexpr auto kMaxSkippedResponses = 3;
@@ -85,15 +87,42 @@
   using namespace boost::asio::experimental::awaitable_operators;
   assert(mSocket);
   // An endpoint may respond before it has read the whole request body.
-  auto [isWritten, hasHead] = co_await (Write(aRequest) && ReadHead(aRequest));
-  mIsRequestWritten = isWritten;
+  auto hasHead = false;
+  const auto respond = [&]() -> boost::asio::awaitable<void> {
+    hasHead = co_await ReadHead(aRequest);
+    if (hasHead) {
+      co_await StopRefusedUpload();
+    }
+  };
+  co_await (Write(aRequest) && respond());
   co_return hasHead;
 }
 
-auto endpoint_call::Write(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>
+auto endpoint_call::Write(const forwarded_request& aRequest) -> boost::asio::awaitable<void>
 {
+  mIsWriting = true;
   auto [error, written] = co_await http::async_write(*mSocket, aRequest, kUseTuple);
-  co_return !error;
+  mIsWriting = false;
+  mIsRequestWritten = !error;
+}
+
+auto endpoint_call::StopRefusedUpload() -> boost::asio::awaitable<void>
+{
+  const auto length = mParser->is_done() ? std::optional(std::uint64_t{ 0 }) : ContentLength();
+  if (Status() < kFirstRefusingStatus || !length || *length > kMaxInputBytes) {
+    co_return;
+  }
+  // ReadSome meets a failure of the connection again, as an error or as an early end.
+  auto error = boost::system::error_code();
+  while (mIsWriting && !error && mInput.size() < *length) {
+    const auto space = mInput.prepare(*length - mInput.size());
+    auto [readError, count] = co_await mSocket->async_read_some(space, kUseTuple);
+    mInput.commit(count);
+    error = readError;
+  }
+  if (mIsWriting && !error) {
+    mSocket->cancel(error);
+  }
 }
 
 auto endpoint_call::ReadHead(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>
--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -49,8 +49,9 @@
   /// none was established within aTimeout.
   auto Open(const std::string& aAddress, duration aMaxIdle, duration aTimeout)
     -> boost::asio::awaitable<bool>;
-  /// Sends the request and reads the response header. Responses to other requests are skipped.
-  /// False when there is no response. Precondition: Open returned true.
+  /// Sends the request and reads the response header. Responses to other requests are skipped. The
+  /// request is sent to its end, unless it fails or the response refuses it. False when there is no
+  /// response. Precondition: Open returned true.
   auto Send(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
   /// The next bytes of the body: an empty string at its end, no value when the response broke off.
   auto ReadSome() -> boost::asio::awaitable<std::optional<std::string>>;
@@ -86,7 +87,11 @@
 
   auto ReadHead(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
   auto SkipBody() -> boost::asio::awaitable<bool>;
-  auto Write(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
+  auto Write(const forwarded_request& aRequest) -> boost::asio::awaitable<void>;
+  /// Stops writing the request if the endpoint has answered with an error or a redirection that is
+  /// whole. It need not read the rest, so the write may never end; after a success it may still use
+  /// the rest.
+  auto StopRefusedUpload() -> boost::asio::awaitable<void>;
   auto Release() -> void;
 
   endpoint_connection_pool& mConnections;
@@ -106,6 +111,7 @@
   /// Taken out of the parser, which adds the fields that follow a chunked body to its own.
   response_head mHead;
   std::array<char, 8UL * 1024> mPart = {};
+  bool mIsWriting = false;
   bool mIsRequestWritten = false;
   boost::system::error_code mReadError;
 };
--- a/packages/gateway/tests/early_answer_test.cpp
+++ b/packages/gateway/tests/early_answer_test.cpp
@@ -29,6 +29,11 @@
 /// More than the buffers of a connection hold, so that an upload goes on while nothing reads it.
 constexpr auto kUploadBytes = std::size_t{ 16 } * 1024 * 1024;
 
+/// Timeouts of the routes. The operating system gives up a connection on which nothing is read
+/// after 3 s.
+constexpr auto kTimeout = duration(10s);
+constexpr auto kShortTimeout = duration(2s);
+
 /// When an early_endpoint answers.
 enum class moment
 {
@@ -150,10 +155,13 @@
          std::string(kUploadBytes, 'x');
 }
 
-auto UploadDocument() -> routing_document
+auto UploadDocument(duration aTimeout) -> routing_document
 {
   auto document = TestDocument();
   document.mLimits.mMaxBodyBytes = 2 * kUploadBytes;
+  for (auto& route : document.mRoutes) {
+    route.mTimeout = aTimeout;
+  }
   return document;
 }
 
@@ -165,12 +173,12 @@
 };
 
 /// Sends a long request to a route whose endpoints all follow aPlan.
-auto Upload(const std::string& aPath, const plan& aPlan) -> uploaded
+auto Upload(const std::string& aPath, const plan& aPlan, duration aTimeout = kTimeout) -> uploaded
 {
   auto fixture = gateway_fixture();
   auto first = early_endpoint(fixture.Context(), "e1", aPlan);
   auto second = early_endpoint(fixture.Context(), "e2", aPlan);
-  fixture.Publish(UploadDocument(), { first.Listed(), second.Listed() });
+  fixture.Publish(UploadDocument(aTimeout), { first.Listed(), second.Listed() });
   auto result = uploaded();
   fixture.Run([&]() -> awaitable<void> {
     auto request = UploadText(aPath);
@@ -260,6 +268,40 @@
   CHECK(result.mRequests == 1);
 }
 
+// The answer waited for the end of the upload, which no one read, until the caller's time was over.
+TEST_CASE("an answer that refuses an upload reaches the caller although no one reads the upload",
+          "[early_answer]")
+{
+  const auto* start = GENERATE("HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n",
+                               "HTTP/1.1 401 No\r\nContent-Length: 5\r\n",
+                               "HTTP/1.0 500 Error\r\nContent-Length: 5\r\n");
+  const auto kept = plan{ start + std::string("Request-Id: r1\r\nSeal: s\r\n\r\nwhole"),
+                          moment::DuringUpload,
+                          last_act::Keep };
+  CAPTURE(start);
+  const auto result = Upload("/once/x", kept, kShortTimeout);
+  REQUIRE(result.mAnswer);
+  CHECK(result.mAnswer->mStatus == std::stoul(std::string(start).substr(9, 3)));
+  CHECK(result.mAnswer->mBody == "whole");
+  CHECK(result.mRequests == 1);
+}
+
+// An endpoint that was full, and said so before it read the request, kept the request from the
+// others.
+TEST_CASE("an upload that an endpoint declines without reading it is sent elsewhere at once",
+          "[early_answer]")
+{
+  const auto declined = plan{ "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Run: 1\r\n"
+                              "Content-Length: 4\r\n\r\nfull",
+                              moment::DuringUpload,
+                              last_act::Keep };
+  const auto result = Upload("/once/x", declined, kShortTimeout);
+  REQUIRE(result.mAnswer);
+  CHECK(result.mAnswer->mStatus == 503);
+  CHECK(result.mAnswer->mBody.find(R"("not_run":true)") != std::string::npos);
+  CHECK(result.mRequests == 2);
+}
+
 TEST_CASE("a framed answer that is broken off during the upload is not complete", "[early_answer]")
 {
   const auto head = std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n");
