Leave out the last chunk behind answers that have no body

Callers: after a 204, or an answer to HEAD, on a streamed route the caller got the end of a chunked body behind it, and could not read the next answer on that connection.

Cause: the relay of streams writes each answer in chunks.

Change: an answer that is whole with its head is forwarded by the plain relay, with a length, if nothing of a stream has been sent to the caller.

--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -73,6 +73,9 @@
     const auto length = mParser->content_length();
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
   }
+  /// Whether a part of the response may still follow its header. Precondition: nothing of the body
+  /// has been read.
+  [[nodiscard]] auto HasBody() const -> bool { return !mParser->is_done(); }
   /// Whether the response has neither a length nor chunks, so that it ends with its connection.
   [[nodiscard]] auto EndsWithConnection() const -> bool { return mParser->need_eof(); }
   /// Records that the response is incomplete although its framing does not show it.
--- a/packages/gateway/src/exchange.cpp
+++ b/packages/gateway/src/exchange.cpp
@@ -377,7 +377,10 @@
     aResult = attempt_result::Failed;
     co_return execution_outcome::MayHaveExecuted;
   }
-  if (isSuccess && mRoute->mIsStream) {
+  // A stream is forwarded in chunks, which would be surplus bytes behind an answer that has no
+  // body.
+  const auto isStream = mRoute->mIsStream && (aCall.HasBody() || mResponseWriter.HasStarted());
+  if (isSuccess && isStream) {
     co_return co_await RelayStream(aCall, aAttempt, aResult);
   }
   co_return co_await RelayBuffered(aCall, aAttempt, aResult);
--- a/packages/gateway/tests/broken_answer_test.cpp
+++ b/packages/gateway/tests/broken_answer_test.cpp
@@ -261,3 +261,41 @@
   }
   CHECK(check("HTTP/1.1 200 OK", many, 200).mFields["X-199"] == "199");
 }
+
+// The caller got the end of a chunked body behind an answer that has none, and took it for the
+// start of the next answer.
+TEST_CASE("an answer without a body on a streamed route leaves no bytes behind it",
+          "[broken_answer]")
+{
+  const auto* method = GENERATE("GET", "HEAD");
+  const auto* start = GENERATE("HTTP/1.1 204 No Content\r\n",
+                               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n");
+  const auto isHead = method == std::string_view("HEAD");
+  const auto isChunked = std::string_view(start).find("chunked") != std::string_view::npos;
+  CAPTURE(method, start);
+  auto fixture = gateway_fixture();
+  auto endpoint =
+    scripted_endpoint(fixture.Context(), "e1", [&](const http_request& aRequest) -> reaction {
+      return aRequest["Request-Id"] == "r1"
+               ? reaction{ start + std::string("Request-Id: r1\r\nSeal: s\r\n\r\n") +
+                           (isChunked && !isHead ? "0\r\n\r\n" : "") }
+               : CompleteAnswer(aRequest);
+    });
+  fixture.Publish(TestDocument(), { endpoint.Listed() });
+  fixture.Run([&]() -> awaitable<void> {
+    auto caller = test_caller(fixture.Context());
+    co_await caller.Connect(fixture.CallerPort());
+    auto first = method + RequestText("/stream/x", {}, "r1").substr(3);
+    co_await caller.Send(std::move(first));
+    const auto empty = co_await caller.Read(isHead);
+    REQUIRE(empty);
+    CHECK(empty->mStatus == std::stoul(std::string(start).substr(9, 3)));
+    CHECK(empty->mBody.empty());
+    auto second = RequestText("/once/x", {}, "r2");
+    co_await caller.Send(std::move(second));
+    const auto answer = co_await caller.Read();
+    REQUIRE(answer);
+    CHECK(answer->mBody == "whole");
+  });
+}
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -211,9 +211,10 @@
   co_await boost::asio::async_write(mSocket, boost::asio::buffer(aText), kUseTuple);
 }
 
-auto test_caller::Read() -> boost::asio::awaitable<std::optional<answer>>
+auto test_caller::Read(bool aIsToHead) -> boost::asio::awaitable<std::optional<answer>>
 {
   auto parser = http::response_parser<http::string_body>();
+  parser.skip(aIsToHead);
   auto [error, count] = co_await http::async_read(mSocket, mInput, parser, kUseTuple);
   if (error) {
     co_return std::nullopt;
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -80,8 +80,8 @@
   auto Connect(std::uint16_t aPort, const std::string& aAddress = "127.0.0.1")
     -> boost::asio::awaitable<void>;
   auto Send(std::string aText) -> boost::asio::awaitable<void>;
-  /// Reads the next response; empty when it is incomplete.
-  auto Read() -> boost::asio::awaitable<std::optional<answer>>;
+  /// Reads the next response; empty when it is incomplete. That to a HEAD request has no body.
+  auto Read(bool aIsToHead = false) -> boost::asio::awaitable<std::optional<answer>>;
   /// Whether the other side closed the connection without sending anything more.
   auto ReadsEof() -> boost::asio::awaitable<bool>;
   auto Close() -> void { mSocket.close(); }
