--- a/packages/http/include/bronzering/http/read_head.h
+++ b/packages/http/include/bronzering/http/read_head.h
@@ -19,7 +19,7 @@
 /// Parses the next bytes of a head and removes them from aInput. Returns need_more if the head is
 /// not whole yet. Unlike the parser alone, rejects folded fields, of which the second line is the
 /// rest of a value to one reader and a field to another. Precondition: the parser's header is not
-/// done. Thread-safe.
+/// done. Thread-safe for different parsers and buffers.
 [[nodiscard]] auto ParseHead(boost::beast::http::basic_parser<false>& aParser,
                              boost::beast::flat_buffer& aInput) -> boost::system::error_code;
 
@@ -91,9 +91,10 @@
 };
 
 /// Reads the head of a response, interim or final, and checks it with ParseHead and CheckHead. All
-/// readers of responses use it, so that they agree on what a valid head is. aStream, aInput and
-/// aParser must outlive the operation; bytes behind the head stay in aInput. The handler takes an
-/// error_code, of Beast's error category if the response is broken.
+/// readers of responses use it, so that they agree on what a valid head is. The handler takes an
+/// error_code, of Beast's error category if the response is broken. Bytes behind the head stay in
+/// aInput. Precondition: aParser is new; it, aStream and aInput outlive the operation. To be called
+/// on the thread or strand of the stream.
 template<class Stream, class Parser, class CompletionToken>
 auto AsyncReadHead(Stream& aStream,
                    boost::beast::flat_buffer& aInput,
