End an attempt at once when its answer is broken during the upload

Callers: an endpoint answered a long request with a broken head and read nothing more. The caller got 504 at its deadline, and a request that may be repeated was not sent to another endpoint in time.

Cause: endpoint_call waited for the write of the request, though the attempt had failed.

Change: the write is stopped, as after a refusal. What follows is the same for both, so StopRefusedUpload only tells now whether the response is a whole refusal.

--- a/packages/gateway/src/endpoint_call.cpp
+++ b/packages/gateway/src/endpoint_call.cpp
@@ -90,8 +90,10 @@
   auto hasHead = false;
   const auto respond = [&]() -> boost::asio::awaitable<void> {
     hasHead = co_await ReadHead(aRequest);
-    if (hasHead) {
-      co_await StopRefusedUpload();
+    // No one may read the rest of a request that is answered with a refusal or a broken response.
+    if (mIsWriting && (!hasHead || co_await HasWholeRefusal())) {
+      auto ignored = boost::system::error_code();
+      mSocket->cancel(ignored);
     }
   };
   co_await (Write(aRequest) && respond());
@@ -106,23 +108,22 @@
   mIsRequestWritten = !error;
 }
 
-auto endpoint_call::StopRefusedUpload() -> boost::asio::awaitable<void>
+auto endpoint_call::HasWholeRefusal() -> boost::asio::awaitable<bool>
 {
   const auto length = mParser->is_done() ? std::optional(std::uint64_t{ 0 }) : ContentLength();
   if (Status() < kFirstRefusingStatus || !length || *length > kMaxInputBytes) {
-    co_return;
+    co_return false;
   }
-  // ReadSome meets a failure of the connection again, as an error or as an early end.
-  auto error = boost::system::error_code();
-  while (mIsWriting && !error && mInput.size() < *length) {
+  while (mIsWriting && mInput.size() < *length) {
     const auto space = mInput.prepare(*length - mInput.size());
-    auto [readError, count] = co_await mSocket->async_read_some(space, kUseTuple);
+    auto [error, count] = co_await mSocket->async_read_some(space, kUseTuple);
     mInput.commit(count);
-    error = readError;
-  }
-  if (mIsWriting && !error) {
-    mSocket->cancel(error);
+    if (error) {
+      // ReadSome meets it again, as an error or as an early end.
+      co_return false;
+    }
   }
+  co_return mIsWriting;
 }
 
 auto endpoint_call::ReadHead(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>
--- a/packages/gateway/src/endpoint_call.h
+++ b/packages/gateway/src/endpoint_call.h
@@ -50,8 +50,8 @@
   auto Open(const std::string& aAddress, duration aMaxIdle, duration aTimeout)
     -> boost::asio::awaitable<bool>;
   /// Sends the request and reads the response header. Responses to other requests are skipped. The
-  /// request is sent to its end, unless it fails or the response refuses it. False when there is no
-  /// response. Precondition: Open returned true.
+  /// request is sent to its end, unless the response is broken or refuses it. False when there is
+  /// no response. Precondition: Open returned true.
   auto Send(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
   /// The next bytes of the body: an empty string at its end, no value when the response broke off.
   auto ReadSome() -> boost::asio::awaitable<std::optional<std::string>>;
@@ -91,10 +91,10 @@
   auto ReadHead(const forwarded_request& aRequest) -> boost::asio::awaitable<bool>;
   auto SkipBody() -> boost::asio::awaitable<bool>;
   auto Write(const forwarded_request& aRequest) -> boost::asio::awaitable<void>;
-  /// Stops writing the request if the endpoint has answered with an error or a redirection that is
-  /// whole. It need not read the rest, so the write may never end; after a success it may still use
-  /// the rest.
-  auto StopRefusedUpload() -> boost::asio::awaitable<void>;
+  /// Reads on while the request is being written, if the response is an error or a redirection with
+  /// a length. True when all of it is in mInput and the write still goes on. After a success the
+  /// endpoint may use the rest of the request.
+  auto HasWholeRefusal() -> boost::asio::awaitable<bool>;
   auto Release() -> void;
 
   endpoint_connection_pool& mConnections;
--- a/packages/gateway/tests/early_answer_test.cpp
+++ b/packages/gateway/tests/early_answer_test.cpp
@@ -302,6 +302,26 @@
   CHECK(result.mRequests == 2);
 }
 
+// The attempt had failed, and went on until the caller's time was over.
+TEST_CASE("a broken answer to an upload that no one reads fails at once", "[early_answer]")
+{
+  const auto* start =
+    GENERATE("HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX Y: v\r\n", "garbage\r\n");
+  const auto kept =
+    plan{ start + std::string("Request-Id: r1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n"),
+          moment::DuringUpload,
+          last_act::Keep };
+  CAPTURE(start);
+  const auto once = Upload("/once/x", kept, kShortTimeout);
+  REQUIRE(once.mAnswer);
+  CHECK(once.mAnswer->mStatus == 502);
+  CHECK(once.mRequests == 1);
+  const auto repeated = Upload("/again/x", kept, kShortTimeout);
+  REQUIRE(repeated.mAnswer);
+  CHECK(repeated.mAnswer->mStatus == 502);
+  CHECK(repeated.mRequests == 2);
+}
+
 TEST_CASE("a framed answer that is broken off during the upload is not complete", "[early_answer]")
 {
   const auto head = std::string("HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nSeal: s\r\n");
