Share the listing of a test's endpoint

The test harness and two tests filled in the same listing of an endpoint on loopback. ListedAs serves all three. No check changes; the cases tagged [early_answer] and [takeover] pass.

--- a/packages/gateway/tests/early_answer_test.cpp
+++ b/packages/gateway/tests/early_answer_test.cpp
@@ -74,16 +74,7 @@
     boost::asio::co_spawn(aContext, Accept(), boost::asio::detached);
   }
 
-  [[nodiscard]] auto Listed() const -> listed_endpoint
-  {
-    auto listed = listed_endpoint();
-    listed.mId = mId;
-    listed.mService = "engines";
-    listed.mAddress = "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
-    listed.mAvailabilityZone = "a";
-    listed.mSlots = 8;
-    return listed;
-  }
+  [[nodiscard]] auto Listed() const -> listed_endpoint { return ListedAs(mId, mAcceptor); }
   [[nodiscard]] auto Requests() const -> int { return mRequests; }
 
 private:
--- a/packages/gateway/tests/gateway_harness.cpp
+++ b/packages/gateway/tests/gateway_harness.cpp
@@ -184,11 +184,16 @@
 }
 
 auto scripted_endpoint::Listed() const -> listed_endpoint
+{
+  return ListedAs(mId, *mAcceptor);
+}
+
+auto ListedAs(const std::string& aId, const tcp::acceptor& aAcceptor) -> listed_endpoint
 {
   auto listed = listed_endpoint();
-  listed.mId = mId;
+  listed.mId = aId;
   listed.mService = "engines";
-  listed.mAddress = "127.0.0.1:" + std::to_string(mAcceptor->local_endpoint().port());
+  listed.mAddress = "127.0.0.1:" + std::to_string(aAcceptor.local_endpoint().port());
   listed.mAvailabilityZone = "a";
   listed.mSlots = 8;
   return listed;
--- a/packages/gateway/tests/gateway_harness.h
+++ b/packages/gateway/tests/gateway_harness.h
@@ -65,6 +65,10 @@
   std::shared_ptr<boost::asio::ip::tcp::acceptor> mAcceptor;
 };
 
+/// An endpoint of the service "engines" on loopback, as it is listed.
+[[nodiscard]] auto ListedAs(const std::string& aId, const boost::asio::ip::tcp::acceptor& aAcceptor)
+  -> listed_endpoint;
+
 /// A caller's connection.
 class test_caller
 {
--- a/packages/gateway/tests/takeover_test.cpp
+++ b/packages/gateway/tests/takeover_test.cpp
@@ -46,16 +46,7 @@
       aContext, [this] { return AcceptRequest(); }, boost::asio::detached);
   }
 
-  [[nodiscard]] auto Listed() const -> listed_endpoint
-  {
-    auto listed = listed_endpoint();
-    listed.mId = mId;
-    listed.mService = "engines";
-    listed.mAddress = "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
-    listed.mAvailabilityZone = "a";
-    listed.mSlots = 8;
-    return listed;
-  }
+  [[nodiscard]] auto Listed() const -> listed_endpoint { return ListedAs(mId, mAcceptor); }
   /// Empty until the request has arrived.
   [[nodiscard]] auto Request() const -> const std::optional<http_request>& { return mRequest; }
   /// Writes without giving the processor to the gateway, which then sees everything at once.
